--- a/fallpulley/workers/messages.py
+++ b/fallpulley/workers/messages.py
@@ -7,14 +7,14 @@
 import msgspec
 from msgspec import Meta
 
-Count = Annotated[int, Meta(ge=0, lt=2**64)]
+Count = Annotated[int, Meta(ge=0)]  # counts, tokens and attempts lie below 2^64
 
 PULLING, RUNNING, SAVING, ENDED = "pulling", "running", "saving", "ended"
 
 
 class PieceState(msgspec.Struct):
     piece: str
-    attempt: Annotated[int, Meta(ge=0, lt=2**64)] = msgspec.field(name="try")
+    attempt: Count = msgspec.field(name="try")
     stage: str = RUNNING
     cause: str | None = None
     saved: bool = False
