--- a/fallpulley/blocks/held.py
+++ b/fallpulley/blocks/held.py
@@ -126,7 +126,10 @@
         """Machines whose lease is certainly over hold nothing any more."""
         now = self.core.now
         for machine in self.machines.values():
-            if machine.up and now > machine.replied_at + self.core.lease_over_s:
+            # A check-in that is about to be answered counts as answered: its reply goes out
+            # after this look, and renews the lease.
+            last = max(machine.replied_at, machine.heard_at)
+            if machine.up and now > last + self.core.lease_over_s:
                 log.info("machine silent machine=%s", machine.host)
                 machine.up = False
                 machine.images.clear()
