Free room beats promised room; high ranks first; only clear slowness counts

Running tasks past their estimate were booked as ending at once, so earliest finish kept choosing room that never came over idle machines with a slow fetch. A machine's learned slowness followed the noise between tasks and made some machines look fast. Excluded: plan throttling, bookings cut short (logged, neither happened).

--- a/fallpulley/blocks/held.py
+++ b/fallpulley/blocks/held.py
@@ -27,8 +27,6 @@
 COUNTER_BITS = 22
 # A machine on which so many different jobs failed, and that completed less, is faulty.
 FAULTY_JOBS = 3
-# One observed run time against the machine's known slowness.
-SLOW_WEIGHT = 0.2
 
 
 class HeldBlock:
@@ -231,8 +229,7 @@
             return
         took = max(0.1, self.core.now - run.running_at)
         expected = self.estimate(job)
-        ratio = max(0.3, min(8.0, took / expected))
-        machine.slowness += SLOW_WEIGHT * (ratio - machine.slowness)
+        machine.learn_speed(took / expected)
         job.observed += 1
         job.observed_s += took
         self.corrections.learn(job.spec.jobclass, job.spec.expect_s, took)
--- a/fallpulley/placement/estimate.py
+++ b/fallpulley/placement/estimate.py
@@ -10,6 +10,9 @@
 CLASS_WEIGHT = 0.05
 # The corrected estimate counts as much as this many completed tasks of the job itself.
 PRIOR_TASKS = 2.0
+# A task past its estimate still needs about this share of the longer of the two: tasks of one
+# job differ by half, and the estimate itself may be too low.
+OVERRUN = 0.3
 LEAST, MOST = 0.2, 5.0
 
 
@@ -35,4 +38,4 @@
 
 def left_of(estimate_s: float, ran_s: float) -> float:
     """What a running task still needs; one past its estimate is taken to need a share more."""
-    return max(estimate_s - ran_s, 0.15 * max(estimate_s, ran_s))
+    return max(estimate_s - ran_s, OVERRUN * max(estimate_s, ran_s))
--- a/fallpulley/placement/plan.py
+++ b/fallpulley/placement/plan.py
@@ -19,6 +19,11 @@
 # Machines of one type differ by up to a tenth in speed: finishes that lie closer together
 # than that share of the estimate are the same for all we know, and cost decides.
 SAME_FINISH = 0.1
+# Room that is free is certain; room that will be free hangs on estimates that are often wrong
+# by half. Waiting for it must promise to finish earlier by this share of the estimate.
+UNSURE = 0.5
+# Ranks from here on are served before all others.
+URGENT_RANK = 2
 # Bookings in one plan. Past this the rest of the queue waits for the next plan: it would
 # start nothing that conservative backfilling allows, except at great cost.
 BOOKINGS_MOST = 600
@@ -52,6 +57,7 @@
     overdue: bool  # waited past the age bound
     submitted: float
     spot_ok: bool
+    rank: int = 1  # the job's priority class
     builds: list[str] | None = None
     zone: str | None = None
     zone_room: dict[str, int] | None = None  # for jobs spread over zones
@@ -66,14 +72,17 @@
     estimate_s: float  # with the image fetch
 
 
-def queue_order(waiting: Waiting) -> tuple[int, float, float, float]:
+def queue_order(waiting: Waiting) -> tuple[float, float, float, float]:
     """Shortest estimated remaining time first; a job past the age bound before all others.
 
     Tasks of a job have equal upward rank (none has children), so their order is free.
+    Exception: jobs of a high rank form a queue of their own before the rest, or those with
+    long tasks would wait behind every short one of lower rank.
     """
     if waiting.overdue:
-        return (0, waiting.submitted, 0.0, 0.0)
-    return (1, waiting.remaining_s, -waiting.estimate_s, waiting.submitted)
+        return (-1, waiting.submitted, 0.0, 0.0)
+    urgent = waiting.rank >= URGENT_RANK
+    return (not urgent, waiting.remaining_s, -waiting.estimate_s, waiting.submitted)
 
 
 def remaining_time(need: Need, estimate_s: float, tasks: int, machines: list[Slot]) -> float:
@@ -184,6 +193,8 @@
         took = run_s + max(0.0, ready - start)
         finish = start + took
         cost = prefer(job, slot) if prefer else 0.0
+        if start > now:
+            cost += UNSURE / SAME_FINISH
         left = profile.cpus[0] - job.need[0]
         return (round(finish / grain) + cost, left, finish, number, start, took)
 
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -9,6 +9,7 @@
 from fallpulley.core import Core
 from fallpulley.fleet.messages import MachineType
 from fallpulley.fleet.sizing import Group
+from fallpulley.jobs.messages import RANKS
 from fallpulley.jobs.open import OpenJob
 from fallpulley.placement.estimate import left_of
 from fallpulley.placement.plan import (
@@ -126,6 +127,7 @@
         waited > core.settings.operators.age_bound * estimate,
         job.record.at_ms / 1000,
         spec.loaners,
+        RANKS[spec.rank],
         spec.builds,
         zone,
         zone_room,
--- a/fallpulley/workers/machine.py
+++ b/fallpulley/workers/machine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 
 import msgspec
@@ -10,6 +11,12 @@
 from fallpulley.fleet.messages import MachineType
 from fallpulley.workers.messages import ENDED, PULLING, RUNNING, SAVING, PieceState, Report
 
+# Tasks after which a machine's own run times count as much as the assumption that it is like
+# all others, and how many of the latest are looked at.
+SPEED_PRIOR, SPEED_SPAN = 4, 12
+# Machines of a type differ by up to a tenth; below this factor it is the tasks that differ.
+CLEARLY_SLOW = 1.4
+
 
 class Run(msgspec.Struct, eq=False):
     """An attempt of a task: commanded, perhaps on its machine, not proved gone."""
@@ -49,7 +56,8 @@
         self.runs: dict[str, Run] = {}
         self.images: OrderedDict[str, float] = OrderedDict()
         self.fetching: dict[str, float] = {}
-        self.slowness = 1.0
+        self.speed_seen = 0
+        self.speed_log = 0.0  # sum of the logarithms of run times over estimates
         self.failed_jobs: set[str] = set()
         self.completed = 0
         self.refuse_until = float("-inf")
@@ -73,6 +81,18 @@
     def empty(self) -> bool:
         return not self.runs and not self.pieces
 
+    @property
+    def slowness(self) -> float:
+        """Run times here over estimates. Tasks of a job differ far more than machines do, so
+        only a clear and repeated difference counts: that of a faulty machine."""
+        ratio = math.exp(self.speed_log / (self.speed_seen + SPEED_PRIOR))
+        return ratio if ratio > CLEARLY_SLOW else 1.0
+
+    def learn_speed(self, ratio: float) -> None:
+        self.speed_seen = min(self.speed_seen + 1, SPEED_SPAN)
+        keep = 1 - 1 / SPEED_SPAN if self.speed_seen == SPEED_SPAN else 1.0
+        self.speed_log = self.speed_log * keep + math.log(max(0.2, min(8.0, ratio)))
+
     def newer(self, report: Report) -> bool:
         return (report.shift, report.tick) > (self.shift, self.tick)
 
