A cut-off holder does not take machines that left it for silent

Guard: a lease is over only if it ran out before the last look that showed the block as ours. The story fails without it.

--- a/fallpulley/blocks/held.py
+++ b/fallpulley/blocks/held.py
@@ -120,14 +120,19 @@
         machine.pieces = {}
         self.dirty = True
 
-    def settle_silent(self) -> None:
-        """Machines whose lease is certainly over hold nothing any more."""
+    def settle_silent(self, fresh_at: float) -> None:
+        """Machines whose lease is certainly over hold nothing any more.
+
+        A machine that left us may be answered by a new holder while we, cut off from the state
+        service, still serve the rest. Its lease is over only if it ran out before our last look
+        at the records (`fresh_at`), which showed the block as ours.
+        """
         now = self.core.now
         for machine in self.machines.values():
             # A check-in that is about to be answered counts as answered: its reply goes out
             # after this look, and renews the lease.
             last = max(machine.replied_at, machine.heard_at)
-            if machine.up and now > last + self.core.lease_over_s:
+            if machine.up and min(now, fresh_at) > last + self.core.lease_over_s:
                 log.info("machine silent machine=%s", machine.host)
                 machine.up = False
                 machine.images.clear()
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -337,7 +337,7 @@
         if term is not None:
             self.keeper.tick(term)
         for held in self.held.values():
-            held.settle_silent()
+            held.settle_silent(self.view.fresh_at)
             if held.unproven:
                 held.fence()
             self.job_keeper.tick(held)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -151,6 +151,26 @@
     world.until(lambda: world.stage(uid) == "done", 90.0)
 
 
+def test_a_cut_off_holder_does_not_take_a_machine_that_left_it_for_silent() -> None:
+    """Its tasks ran on under the new holder, and the old one started them on a machine that
+    still heard it alone."""
+    world = ready(2)
+    world.capacity = 2
+    uid = submit(world, 1, pieces=3)
+    world.times[uid] = 60.0
+    world.until(lambda: len(world.running(uid)) == 3, 20.0)
+    old = world.holder()
+    lone = min(world.workers.values(), key=lambda worker: len(worker.on_machine()))
+    assert len(lone.on_machine()) == 1
+    world.cut.add((old, "state"))
+    for other in others(old):
+        world.cut.add((lone.host, other))
+    world.run(30.0)
+    assert len(world.starts_seen) == 3
+    world.cut.clear()
+    world.until(lambda: world.stage(uid) == "done", 120.0)
+
+
 def test_a_cancel_reaches_tasks_whose_holder_is_cut_off_with_its_machine() -> None:
     world = ready(2)
     world.capacity = 2
