Size the fleet by the level of work over a boot time; keep more while capacity is refused

Tried: smoothing over two boot times and idle times of 0.2 boots (no gain), a dearer choice of ordinary machines for spot work (lookups no faster).

--- a/fallpulley/fleet/desk.py
+++ b/fallpulley/fleet/desk.py
@@ -9,7 +9,8 @@
 from fallpulley.blocks.writer import BlockWriter
 from fallpulley.core import Core
 from fallpulley.fleet.keeper import FleetKeeper
-from fallpulley.fleet.sizing import Sizing, Supply, size_fleet
+from fallpulley.fleet.messages import MachineType
+from fallpulley.fleet.sizing import Group, Sizing, Supply, size_fleet
 from fallpulley.mesh.messages import Want
 from fallpulley.placement.queue import groups_of
 from fallpulley.workers.machine import Machine
@@ -25,6 +26,12 @@
 SILENT_LEASES = 2.5
 
 
+# The level of work is smoothed over so many boot times.
+SMOOTH_BOOTS = 1.0
+# A backlog above the level counts at this share.
+BACKLOG_SHARE = 0.6
+
+
 class FleetDesk:
     def __init__(
         self, core: Core, registry: Registry, writer: BlockWriter, keeper: FleetKeeper
@@ -34,6 +41,7 @@
         self.writer = writer
         self.keeper = keeper
         self._next: dict[str, float] = {}
+        self._levels: dict[tuple[object, ...], float] = {}
 
     def tick(self, held: HeldBlock, leading: bool) -> list[Want]:
         """Give up what should go, rent as the leader, or say what the leader should rent."""
@@ -93,8 +101,10 @@
                 supply.append(Supply(host, entry.build, entry.zone, entry.spot, kind.cpus, None))
         operators = self.core.settings.operators
         most = operators.machines_max or 10**6
+        groups = groups_of(held, types, now)
+        self._smooth(held.label, groups, types)
         return size_fleet(
-            groups_of(held, types, now),
+            groups,
             supply,
             types,
             self.keeper.refused(),
@@ -103,6 +113,26 @@
             most - len(supply),
         )
 
+    def _smooth(self, block: str, groups: list[Group], types: dict[str, MachineType]) -> None:
+        """Jobs come in lumps that are over before a machine rented for them is up: what counts
+        is the level of work over about a boot time, and backlogs far above it."""
+        boot_s = min((kind.startup_s for kind in types.values()), default=60.0)
+        weight = min(1.0, SIZING_S / (SMOOTH_BOOTS * boot_s))
+        seen = set()
+        for group in groups:
+            key = (block, group.spot_ok, group.builds, group.zone, group.urgent)
+            seen.add(key)
+            level = self._levels.get(key, group.work)
+            level += weight * (group.work - level)
+            self._levels[key] = level
+            group.work = max(level, group.work * BACKLOG_SHARE)
+        for key in list(self._levels):
+            if key[0] == block and key not in seen:
+                self._levels[key] *= 1 - weight
+                if self._levels[key] > 1.0:
+                    _, spot_ok, builds, zone, urgent = key
+                    groups.append(Group(spot_ok, builds, zone, self._levels[key], 0.0, urgent))  # type: ignore[arg-type]
+
     def _look_over(self, held: HeldBlock) -> None:
         """Machines that never came, went silent, stopped or are faulty go back."""
         now = self.core.now
--- a/fallpulley/fleet/sizing.py
+++ b/fallpulley/fleet/sizing.py
@@ -13,6 +13,13 @@
 
 from fallpulley.fleet.messages import MachineType
 
+# Work of a high rank is to drain in this share of the time others may take.
+URGENT_DRAIN = 0.5
+
+# While the cloud refuses what a group would rent first, capacity is scarce: what there is is
+# taken and kept for work that lasts this share of the usual time.
+SCARCE_DRAIN = 0.4
+
 
 class Group(msgspec.Struct):
     """Work that may use the same machines; amounts in processor-seconds and processors."""
@@ -22,6 +29,7 @@
     zone: str | None
     work: float
     widest: float  # processors of the widest task
+    urgent: bool = False  # holds work of a high rank
 
 
 class Supply(msgspec.Struct):
@@ -88,7 +96,11 @@
         if not fitting:
             continue
         boot_s = min(kind.startup_s for kind in fitting)
-        wanted = group.work / max(1.0, drain_boots * boot_s)
+        drain_s = drain_boots * boot_s * (URGENT_DRAIN if group.urgent else 1.0)
+        wished = options(group, types, set())
+        if wished and wished[0][1:] in refused:
+            drain_s *= SCARCE_DRAIN
+        wanted = group.work / max(1.0, drain_s)
         wanted = max(wanted, group.widest if group.work > 0 else 0.0)
         # Machines that others cannot use come first, then the fullest: idle ones stay idle.
         usable = [m for m in supply if _fits(group, m.build, m.zone, m.spot)]
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -14,6 +14,7 @@
 from fallpulley.placement.estimate import left_of
 from fallpulley.placement.plan import (
     BOOKINGS_MOST,
+    URGENT_RANK,
     Plan,
     Slot,
     Waiting,
@@ -185,8 +186,9 @@
             ran = now - run.running_at if run.running_at is not None else 0.0
             work += left_of(estimate, ran) * processors
         builds = tuple(sorted(spec.builds)) if spec.builds is not None else None
-        key = (spec.loaners, builds, spec.hall)
-        group = groups.setdefault(key, Group(spec.loaners, builds, spec.hall, 0.0, 0.0))
+        urgent = RANKS[spec.rank] >= URGENT_RANK
+        key = (spec.loaners, builds, spec.hall, urgent)
+        group = groups.setdefault(key, Group(spec.loaners, builds, spec.hall, 0.0, 0.0, urgent))
         group.work += work
         group.widest = max(group.widest, processors)
     return list(groups.values())
--- a/fallpulley/settings.py
+++ b/fallpulley/settings.py
@@ -99,9 +99,9 @@
     # Share of a worker's lease after which a controller that stopped renewing is replaced.
     session_share: Annotated[float, Meta(ge=0.1, le=1.0)] = 0.25
     # Queued and running work should drain within this many boot times of a machine.
-    drain_boots: Annotated[float, Meta(gt=0, le=20)] = 0.5
+    drain_boots: Annotated[float, Meta(gt=0, le=20)] = 1.3
     # An idle machine goes back after this many boot times.
-    idle_boots: Annotated[float, Meta(ge=0, le=50)] = 0.75
+    idle_boots: Annotated[float, Meta(ge=0, le=50)] = 0.5
     # A job that waited this many times its own estimate sorts before all shorter ones.
     age_bound: Annotated[float, Meta(gt=0)] = 8.0
     # Machines never rented beyond this number (0: no bound of our own).
