Stop the cheapest lower-ranked work for urgent tasks that would wait too long

Stops are chosen by least work lost, never more than the urgent task brings, and only for classes whose objectives name a time to start within.

--- a/fallpulley/blocks/held.py
+++ b/fallpulley/blocks/held.py
@@ -320,6 +320,18 @@
         if machine is not None and run.seen and machine.entry.addr:
             self.direct(machine, [Order("stop", run.piece, run.attempt, windup_s)])
 
+    def preempt(self, host: str, pieces: list[str]) -> None:
+        """Stop tasks at once to make room: what they did since their last save is lost."""
+        machine = self.machines[host]
+        orders = []
+        for name in pieces:
+            run = machine.runs[name]
+            run.stopping = 0.0
+            orders.append(Order("stop", run.piece, run.attempt, 0.0))
+            log.info("task preempted task=%s machine=%s", run.piece, host)
+        if machine.entry.addr:
+            self.direct(machine, orders)
+
     def direct(self, machine: Machine, orders: list[Order]) -> None:
         def done(status: int | None, body: bytes, sent_at: float) -> None:
             self._direct_answer(machine, status, body)
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -373,10 +373,10 @@
                 continue
             planned = True
             held.dirty = False
-            held.booked = {}
-            plan = plan_block(held, self.core, self.registry, self.desk.teams)
-            for booking in plan.starts:
-                held.booked.setdefault(booking.host, []).append(booking)
+            decision = plan_block(held, self.core, self.registry, self.desk.teams)
+            held.booked = decision.starts
+            for stop in decision.stops:
+                held.preempt(stop.host, stop.pieces)
         if planned:
             took = self.core.clock() - began
             self._plan_ready_at = now + took * PLAN_SHARE
--- a/fallpulley/fleet/desk.py
+++ b/fallpulley/fleet/desk.py
@@ -31,6 +31,8 @@
 # A backlog above the level counts at this share.
 BACKLOG_SHARE = 0.6
 
+GroupKey = tuple[str, bool, tuple[str, ...] | None, str | None, bool]
+
 
 class FleetDesk:
     def __init__(
@@ -41,7 +43,7 @@
         self.writer = writer
         self.keeper = keeper
         self._next: dict[str, float] = {}
-        self._levels: dict[tuple[object, ...], float] = {}
+        self._levels: dict[GroupKey, float] = {}
 
     def tick(self, held: HeldBlock, leading: bool) -> list[Want]:
         """Give up what should go, rent as the leader, or say what the leader should rent."""
@@ -131,7 +133,7 @@
                 self._levels[key] *= 1 - weight
                 if self._levels[key] > 1.0:
                     _, spot_ok, builds, zone, urgent = key
-                    groups.append(Group(spot_ok, builds, zone, self._levels[key], 0.0, urgent))  # type: ignore[arg-type]
+                    groups.append(Group(spot_ok, builds, zone, self._levels[key], 0.0, urgent))
 
     def _look_over(self, held: HeldBlock) -> None:
         """Machines that never came, went silent, stopped or are faulty go back."""
--- a/fallpulley/placement/plan.py
+++ b/fallpulley/placement/plan.py
@@ -72,17 +72,18 @@
     estimate_s: float  # with the image fetch
 
 
-def queue_order(waiting: Waiting) -> tuple[float, float, float, float]:
-    """Shortest estimated remaining time first; a job past the age bound before all others.
+def queue_order(waiting: Waiting) -> tuple[float, float, float, float, float]:
+    """Shortest estimated remaining time first; a job past the age bound before the others.
 
     Tasks of a job have equal upward rank (none has children), so their order is free.
     Exception: jobs of a high rank form a queue of their own before the rest, or those with
-    long tasks would wait behind every short one of lower rank.
+    long tasks would wait behind every short one of lower rank. The age bound does not cross
+    the two: room made by stopping an old job's tasks would go back to that same job.
     """
-    if waiting.overdue:
-        return (-1, waiting.submitted, 0.0, 0.0)
     urgent = waiting.rank >= URGENT_RANK
-    return (not urgent, waiting.remaining_s, -waiting.estimate_s, waiting.submitted)
+    if waiting.overdue:
+        return (not urgent, 0, waiting.submitted, 0.0, 0.0)
+    return (not urgent, 1, waiting.remaining_s, -waiting.estimate_s, waiting.submitted)
 
 
 def remaining_time(need: Need, estimate_s: float, tasks: int, machines: list[Slot]) -> float:
@@ -116,7 +117,7 @@
     return high
 
 
-def _eligible(job: Waiting, slot: Slot) -> bool:
+def eligible(job: Waiting, slot: Slot) -> bool:
     return (
         (job.spot_ok or not slot.spot)
         and (job.builds is None or slot.build in job.builds)
@@ -130,6 +131,7 @@
 
 class Plan(msgspec.Struct):
     starts: list[Booking]
+    later: dict[str, list[float]] = {}  # urgent jobs: when their later bookings start
     booked_later: int = 0
     cut_short: bool = False
 
@@ -141,7 +143,7 @@
     prefer: Callable[[Waiting, Slot], float] | None = None,
 ) -> Plan:
     """Book every task of the queue, in order, at its earliest finish."""
-    plan = Plan(starts=[])
+    plan = Plan(starts=[], later={})
     profiles = {slot.host: Profile(now, *slot.size, running=slot.running) for slot in slots}
     jobs = sorted(jobs, key=queue_order)
     # Smallest need of this and all later jobs: once no machine has that much room now,
@@ -200,7 +202,7 @@
 
     heap = []
     for number, slot in enumerate(slots):
-        if _eligible(job, slot):
+        if eligible(job, slot):
             entry = candidate(number, slot)
             if entry is not None:
                 heap.append(entry)
@@ -234,6 +236,8 @@
             plan.starts.append(Booking(job.job, index, slot.host, took))
         else:
             plan.booked_later += 1
+            if job.rank >= URGENT_RANK:
+                plan.later.setdefault(job.job, []).append(start)
         booked += 1
         if booked >= BOOKINGS_MOST:
             break
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -4,6 +4,8 @@
 
 import math
 
+import msgspec
+
 from fallpulley.blocks.held import HeldBlock
 from fallpulley.blocks.registry import Registry
 from fallpulley.core import Core
@@ -15,6 +17,7 @@
 from fallpulley.placement.plan import (
     BOOKINGS_MOST,
     URGENT_RANK,
+    Booking,
     Plan,
     Slot,
     Waiting,
@@ -22,9 +25,14 @@
     queue_order,
     remaining_time,
 )
+from fallpulley.placement.preempt import Stop, Victim, choose_victims
 from fallpulley.settings import Team
 from fallpulley.workers.machine import Machine, size_of
-from fallpulley.workers.messages import ENDED
+from fallpulley.workers.messages import ENDED, SAVING
+
+# Of the time within which a class's tasks should start, the share they may wait for room;
+# the rest is for the stop, the next check-in and the image.
+PATIENCE_SHARE = 0.5
 
 
 def slots_of(held: HeldBlock, types: dict[str, MachineType], now: float) -> list[Slot]:
@@ -166,10 +174,84 @@
     return 1.0 if job.spot_ok and not slot.spot else 0.0
 
 
-def plan_block(held: HeldBlock, core: Core, registry: Registry, teams: dict[str, Team]) -> Plan:
+class Decision(msgspec.Struct):
+    """What a plan asks for: tasks to start, by machine, and tasks to stop for urgent ones."""
+
+    starts: dict[str, list[Booking]]
+    stops: list[Stop]
+
+
+def plan_block(held: HeldBlock, core: Core, registry: Registry, teams: dict[str, Team]) -> Decision:
     slots = slots_of(held, registry.types, core.now)
     waiting = waiting_of(held, core, teams, slots)
-    return make_plan(waiting, slots, core.now, _cost)
+    plan = make_plan(waiting, slots, core.now, _cost)
+    decision = Decision({}, [])
+    for booking in plan.starts:
+        decision.starts.setdefault(booking.host, []).append(booking)
+    patience = _patience(core)
+    if patience:
+        decision.stops = _stops_for(held, core, plan, waiting, slots, patience)
+    return decision
+
+
+def _patience(core: Core) -> dict[str, float]:
+    """Classes with an aim on starting, and how long their tasks may wait for room."""
+    patience: dict[str, float] = {}
+    for objective in core.settings.facts.objectives:
+        if objective.kind == "wait" and objective.within_s:
+            wait_s = PATIENCE_SHARE * objective.within_s
+            patience[objective.jobclass] = min(patience.get(objective.jobclass, wait_s), wait_s)
+    return patience
+
+
+def _stops_for(
+    held: HeldBlock,
+    core: Core,
+    plan: Plan,
+    waiting: list[Waiting],
+    slots: list[Slot],
+    patience: dict[str, float],
+) -> list[Stop]:
+    """Stops for urgent tasks that would wait beyond what their class's aim allows."""
+    late: list[tuple[Waiting, int]] = []
+    for entry in waiting:
+        jobclass = held.jobs[entry.job].spec.jobclass
+        if entry.rank < URGENT_RANK or jobclass not in patience:
+            continue
+        waited = core.wall - entry.submitted
+        until = core.now + max(0.0, patience[jobclass] - waited)
+        count = sum(1 for start in plan.later.get(entry.job, ()) if start > until)
+        if count:
+            late.append((entry, count))
+    if not late:
+        return []
+    room = {slot.host: slot.size for slot in slots}
+    needs = [(run.host, run.need) for run in held.runs()]
+    needs += [(booking.host, held.jobs[booking.job].need) for booking in plan.starts]
+    for host, need in needs:
+        if host in room:
+            free = room[host]
+            room[host] = (free[0] - need[0], free[1] - need[1], free[2] - need[2])
+    victims = {slot.host: _victims(held, slot.host, core.now) for slot in slots}
+    stops: list[Stop] = []
+    for entry, count in late:
+        stops += choose_victims(entry, count, slots, room, victims, core.now)
+    return stops
+
+
+def _victims(held: HeldBlock, host: str, now: float) -> list[Victim]:
+    found = []
+    for run in held.machines[host].runs.values():
+        job = held.jobs.get(run.job)
+        if job is None or run.stopping is not None or not run.seen or run.stage == SAVING:
+            continue
+        ran = now - run.running_at if run.running_at is not None else 0.0
+        if job.spec.bookmark_s > 0:
+            ran = min(ran, 0.5 * job.spec.bookmark_s)
+        loss = max(ran, 0.1) * max(run.need[0], 0.1)
+        found.append(Victim(run.piece, RANKS[job.spec.rank], run.need, loss))
+    found.sort(key=lambda victim: victim.loss / max(victim.need[0], 0.1))
+    return found
 
 
 def groups_of(held: HeldBlock, types: dict[str, MachineType], now: float) -> list[Group]:
--- a/fallpulley/settings.py
+++ b/fallpulley/settings.py
@@ -103,7 +103,7 @@
     # An idle machine goes back after this many boot times.
     idle_boots: Annotated[float, Meta(ge=0, le=50)] = 0.5
     # A job that waited this many times its own estimate sorts before all shorter ones.
-    age_bound: Annotated[float, Meta(gt=0)] = 8.0
+    age_bound: Annotated[float, Meta(gt=0)] = 6.0
     # Machines never rented beyond this number (0: no bound of our own).
     machines_max: Annotated[int, Meta(ge=0)] = 0
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -139,3 +139,11 @@
 def test_the_queue_order_is_total() -> None:
     jobs = [waiting("a", remaining_s=3.0), waiting("b", remaining_s=2.0, submitted=1.0)]
     assert [job.job for job in sorted(jobs, key=queue_order)] == ["b", "a"]
+
+
+def test_room_made_for_an_urgent_task_does_not_go_back_to_an_old_job() -> None:
+    """With the age bound before high ranks, stopped tasks of an old job took their own room
+    back, were stopped again, and nothing got done."""
+    old = waiting("old", 2, overdue=True, rank=0)
+    urgent = waiting("urgent", 2, rank=2, remaining_s=99.0)
+    assert {job for job, _ in starts([old, urgent], [slot("m")])} == {"urgent"}
