--- a/fallpulley/blocks/held.py
+++ b/fallpulley/blocks/held.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from fallpulley.blocks.messages import BlockRecord
+from fallpulley.blocks.messages import BlockRecord, MachineEntry
 from fallpulley.core import Core
 from fallpulley.jobs.messages import JobRecord, split_piece
 from fallpulley.jobs.open import OpenJob
@@ -355,10 +355,15 @@
             machine.shift = report.shift
             machine.fence_at = float("-inf")
 
-    def fence(self) -> None:
+    def fence(self, addresses: dict[str, str]) -> None:
         """Bring our token to the machines of a block just taken; their answers are reports."""
         now = self.core.now
         for machine in self.machines.values():
+            if not machine.entry.addr and machine.host in addresses:
+                entry = machine.entry
+                machine.entry = MachineEntry(
+                    addresses[machine.host], entry.build, entry.zone, entry.spot
+                )
             if (
                 machine.host in self.unproven
                 and not machine.settled
--- a/fallpulley/blocks/writer.py
+++ b/fallpulley/blocks/writer.py
@@ -29,6 +29,7 @@
         self.registry = registry
         self.adding: dict[str, dict[str, MachineEntry]] = {}
         self.removing: dict[str, set[str]] = {}
+        self.addresses: dict[str, str] = {}  # learned from lists and reports
         self._busy: dict[str, float] = {}  # block -> until when its last write is awaited
 
     def add(self, block: str, host: str, entry: MachineEntry) -> None:
@@ -72,6 +73,12 @@
         out = sorted(removing)[: self.core.settings.facts.state.txn_ops - 2]
         machines = {h: e for h, e in record.machines.items() if h not in out}
         machines |= adding
+        # A successor fences the machines directly: it needs their addresses.
+        for host, entry in machines.items():
+            if not entry.addr and host in self.addresses:
+                machines[host] = MachineEntry(
+                    self.addresses[host], entry.build, entry.zone, entry.spot
+                )
         key = BLOCKS + label
         value = msgspec.json.encode(BlockRecord(record.holder, record.boot, machines))
         changes = [Change(key, value)]
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -253,6 +253,8 @@
             core.answer(ticket, 503, b"", 1.0)
             return
         newer = held.take_report(machine, report, checkin=True)
+        if report.addr:
+            self.writer.addresses[report.host] = report.addr
         self._checkins.append((ticket, held, machine, newer))
 
     def _redirect(self, ticket: Any, holder: str | None) -> None:
@@ -339,7 +341,7 @@
         for held in self.held.values():
             held.settle_silent(self.view.fresh_at)
             if held.unproven:
-                held.fence()
+                held.fence(self.writer.addresses)
             self.job_keeper.tick(held)
             if self.session.live():
                 wants = self.fleet.tick(held, term is not None)
--- a/fallpulley/fleet/keeper.py
+++ b/fallpulley/fleet/keeper.py
@@ -127,6 +127,9 @@
                 return
             self.listed, self._listing = self._listing, None
             self.listed_at = self.core.now
+            for host, machine in self.listed.items():
+                if machine.addr:
+                    self.writer.addresses[host] = machine.addr
             self._adopt()
 
         path = f"/rentals?page={LIST_PAGE}" + (f"&after={after}" if after else "")
