Records mark machines that may hold tasks; a release proves a dead one empty

The block's record now marks a machine before its first task and takes the mark back once its lease is over, so only machines that can hold tasks are waited for; a few dead ones are released, which proves them empty.

--- a/fallpulley/blocks/held.py
+++ b/fallpulley/blocks/held.py
@@ -43,7 +43,8 @@
         self.machines = {
             host: Machine(host, entry, stamp, core.now) for host, entry in record.machines.items()
         }
-        self.unproven: set[str] = set() if fresh else set(self.machines)
+        # Machines that may hold tasks we do not know of.
+        self.unproven = {host for host, entry in record.machines.items() if entry.used}
         self.loaded = fresh  # progress values have been read
         self.jobs: dict[str, OpenJob] = {}
         self.booked: dict[str, list[Booking]] = {}
@@ -142,6 +143,13 @@
             self.unproven.clear()
             self.dirty = True
 
+    def proved_empty(self, host: str) -> None:
+        """The cloud has confirmed that the machine is gone."""
+        if host in self.unproven:
+            log.info("machine proved gone machine=%s block=%s", host, self.label)
+            self.unproven.discard(host)
+            self.dirty = True
+
     def old_holder_ended(self) -> None:
         """The earlier holder's process is gone: it answers nobody from now on."""
         self.empty_at = min(self.empty_at, self.core.now + self.core.lease_over_s)
--- a/fallpulley/blocks/messages.py
+++ b/fallpulley/blocks/messages.py
@@ -19,6 +19,9 @@
     build: str
     zone: str
     spot: bool
+    # It may hold tasks. Written before the first `run` and taken back once the machine is
+    # proved empty, so that a successor need not wait for machines that cannot hold any.
+    used: bool = False
 
 
 class BlockRecord(msgspec.Struct):
--- a/fallpulley/blocks/writer.py
+++ b/fallpulley/blocks/writer.py
@@ -29,6 +29,9 @@
         self.registry = registry
         self.adding: dict[str, dict[str, MachineEntry]] = {}
         self.removing: dict[str, set[str]] = {}
+        self.marks: dict[str, dict[str, bool]] = {}  # block -> machine -> to be marked used
+        self._unsure: set[str] = set()  # blocks with a write that may still be applied
+        self._seen_from: dict[str, int] = {}  # block -> stamp of our last write
         self.addresses: dict[str, str] = {}  # learned from lists and reports
         self._busy: dict[str, float] = {}  # block -> until when its last write is awaited
 
@@ -39,22 +42,39 @@
         """Only the holder may ask, for a machine that it no longer places on."""
         self.removing.setdefault(block, set()).add(host)
 
-    def drop_removals(self, block: str) -> None:
+    def mark(self, block: str, host: str, used: bool) -> None:
+        """Only the holder may ask; counts once `used` says so."""
+        self.marks.setdefault(block, {})[host] = used
+
+    def used(self, block: str, host: str) -> bool:
+        """The record says that the machine may hold tasks, and no write takes that back."""
+        entry = self.registry.blocks.get(block)
+        if entry is None or host in self.marks.get(block, ()):
+            return False
+        machine = entry[0].machines.get(host)
+        return machine is not None and machine.used
+
+    def drop_block(self, block: str) -> None:
+        """The block is no longer ours."""
         self.removing.pop(block, None)
+        self.marks.pop(block, None)
 
     def coming(self, host: str) -> bool:
         return any(host in hosts for hosts in self.adding.values())
 
     def tick(self) -> None:
         now = self.core.now
-        for label in list(self.adding.keys() | self.removing.keys()):
+        for label in list(self.adding.keys() | self.removing.keys() | self.marks.keys()):
             if now < self._busy.get(label, 0.0):
                 continue
             entry = self.registry.blocks.get(label)
             if entry is None:
                 self.adding.pop(label, None)
                 self.removing.pop(label, None)
+                self.marks.pop(label, None)
                 continue
+            if entry[1] < self._seen_from.get(label, 0):
+                continue  # our last write is in the record, but not yet in our copy
             self._write(label, entry[0], entry[1])
 
     def _write(self, label: str, record: BlockRecord, stamp: int) -> None:
@@ -66,9 +86,17 @@
         for host in list(removing):
             if host not in record.machines:
                 removing.discard(host)
-        if not adding and not removing:
+        marks = self.marks.get(label, {})
+        if label not in self._unsure:
+            # While a write may still be applied late, a wish that the record seems to grant
+            # already stays: that write could take it back.
+            for host, used in list(marks.items()):
+                if host not in record.machines or record.machines[host].used == used:
+                    del marks[host]
+        if not adding and not removing and not marks:
             self.adding.pop(label, None)
             self.removing.pop(label, None)
+            self.marks.pop(label, None)
             return
         out = sorted(removing)[: self.core.settings.facts.state.txn_ops - 2]
         machines = {h: e for h, e in record.machines.items() if h not in out}
@@ -77,8 +105,12 @@
         for host, entry in machines.items():
             if not entry.addr and host in self.addresses:
                 machines[host] = MachineEntry(
-                    self.addresses[host], entry.build, entry.zone, entry.spot
+                    self.addresses[host], entry.build, entry.zone, entry.spot, entry.used
                 )
+        for host, used in marks.items():
+            if host in machines:
+                entry = machines[host]
+                machines[host] = MachineEntry(entry.addr, entry.build, entry.zone, entry.spot, used)
         key = BLOCKS + label
         value = msgspec.json.encode(BlockRecord(record.holder, record.boot, machines))
         changes = [Change(key, value)]
@@ -86,8 +118,13 @@
         self._busy[label] = self.core.now + 3.0
 
         def written(status: int | None, ledger: int) -> None:
-            # On success the watch brings the record within moments; otherwise look again soon.
-            wait_s = 0.3 if status == 200 else 0.5
-            self._busy[label] = self.core.now + wait_s
+            if status is None:
+                self._unsure.add(label)
+            elif status in (200, 409):
+                self._unsure.discard(label)
+            if status == 200:
+                self._seen_from[label] = ledger
+            # On success the watch brings the record within moments.
+            self._busy[label] = self.core.now + (0.0 if status == 200 else 0.3)
 
         self.core.lane.write(Write({key: stamp}, changes, written, Order.ACCEPT))
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -191,7 +191,7 @@
             if held is not None:
                 log.info("block lost block=%s term=%d", label, held.token)
                 del self.held[label]
-                self.writer.drop_removals(label)
+                self.writer.drop_block(label)
             return
         record, stamp = entry
         if held is not None:
@@ -295,7 +295,7 @@
             orders: list[Order] = []
             if newer and machine.settled:
                 orders = held.orders(machine)
-                if machine.usable and self.view.ready:
+                if machine.usable and machine.used and self.view.ready:
                     orders += self._runs(held, machine)
             machine.replied_at = self.core.now
             body = msgspec.json.encode(Orders(held.token, orders))
@@ -340,6 +340,7 @@
             self.keeper.tick(term)
         for held in self.held.values():
             held.settle_silent(self.view.fresh_at)
+            self._mark_used(held)
             if held.unproven:
                 held.fence(self.writer.addresses)
             self.job_keeper.tick(held)
@@ -353,6 +354,23 @@
             self.peers.tick(self.fresh_s(), counts, self._wants)
             self._wants = []
 
+    def _mark_used(self, held: HeldBlock) -> None:
+        """Keep the record's marks of machines that may hold tasks."""
+        for host, machine in held.machines.items():
+            entry = held.record.machines.get(host)
+            if entry is None:
+                continue
+            wished = self.writer.marks.get(held.label, {}).get(host, entry.used)
+            may_hold = machine.up or bool(machine.runs) or host in held.unproven
+            if machine.usable and not wished:
+                self.writer.mark(held.label, host, True)
+            elif not may_hold and wished and machine.got_at < self.core.now:
+                self.writer.mark(held.label, host, False)
+            used = self.writer.used(held.label, host)
+            if used != machine.used:
+                machine.used = used
+                held.dirty = True
+
     def _counts(self) -> list[tuple[str, int, int]]:
         counts = []
         for held in self.held.values():
--- a/fallpulley/fleet/desk.py
+++ b/fallpulley/fleet/desk.py
@@ -22,6 +22,10 @@
 # it goes back. Some take several times as long, a few never come.
 LATE_BOOTS = 2.0
 NEVER_BOOTS = 4.0
+# After a takeover a machine may stay unreachable for this share of a lease.
+UNPROVEN_LEASES = 0.35
+# When more than this share of a block is out of reach, it is the network: they will be back.
+UNPROVEN_SHARE = 0.1
 # A machine that was silent for so many leases goes back: most likely it is no more.
 SILENT_LEASES = 2.5
 
@@ -51,7 +55,7 @@
         if now < self._next.get(held.label, float("-inf")) or not self.registry.types:
             return []
         self._next[held.label] = now + SIZING_S
-        self._look_over(held)
+        self._look_over(held, leading)
         if not held.loaded:
             return []
         sizing = self._size(held)
@@ -135,7 +139,7 @@
                     _, spot_ok, builds, zone, urgent = key
                     groups.append(Group(spot_ok, builds, zone, self._levels[key], 0.0, urgent))
 
-    def _look_over(self, held: HeldBlock) -> None:
+    def _look_over(self, held: HeldBlock, leading: bool) -> None:
         """Machines that never came, went silent, stopped or are faulty go back."""
         now = self.core.now
         for machine in held.machines.values():
@@ -147,10 +151,16 @@
             if listed is not None and listed.stage == "failed":
                 machine.gone = True
             if machine.host in held.unproven:
+                few = len(held.unproven) <= max(1.0, UNPROVEN_SHARE * len(held.machines))
+                late = now - held.taken_at > UNPROVEN_LEASES * self.core.lease_s
+                if leading and few and late:
+                    self._prove_gone(held, machine)
                 continue
             if not machine.up and not machine.runs:
                 since = max(machine.heard_at, machine.got_at)
-                if machine.gone:
+                if machine.host in self.keeper.released:
+                    self._give_up(held, machine, "released")
+                elif machine.gone:
                     self._give_up(held, machine, "failed")
                 elif machine.ever_up:
                     if now - since > SILENT_LEASES * self.core.lease_s:
@@ -164,6 +174,15 @@
             ):
                 self._give_up(held, machine, "faulty")
 
+    def _prove_gone(self, held: HeldBlock, machine: Machine) -> None:
+        """A machine that does not answer after a takeover holds back every job accepted before
+        it. Nearly always it is dead; the cloud's answer to its release proves it empty."""
+        if machine.host in self.keeper.released:
+            held.proved_empty(machine.host)
+        elif machine.host not in self.keeper.doomed:
+            log.info("machine released as proof machine=%s block=%s", machine.host, held.label)
+            self.keeper.doomed.add(machine.host)
+
     def _give_up(self, held: HeldBlock, machine: Machine, why: str) -> None:
         """From here nothing is placed on it, whatever becomes of the write."""
         log.info("machine given up machine=%s why=%s block=%s", machine.host, why, held.label)
--- a/fallpulley/fleet/keeper.py
+++ b/fallpulley/fleet/keeper.py
@@ -56,7 +56,7 @@
         self._next_catalog = float("-inf")
         self._next_list = float("-inf")
         self._listing: dict[str, Listed] | None = None
-        self._releasing: set[str] = set()
+        self.doomed: set[str] = set()  # to be released, whatever records say
         self._next_release = float("-inf")
         self._dropping: set[str] = set()
         self._hiring: set[str] = set()
@@ -143,7 +143,7 @@
         for host, machine in self.listed.items():
             if host in self.registry.host_block or host in self.registry.retired:
                 continue
-            if self.writer.coming(host) or host in self._releasing:
+            if self.writer.coming(host) or host in self.doomed:
                 continue
             if host in self.released:
                 # Released and listed again after the list's lag: the release got lost.
@@ -177,12 +177,12 @@
 
     def _unrecorded(self, host: str) -> None:
         self.released.pop(host, None)
-        self._releasing.add(host)
+        self.doomed.add(host)
 
     def _release(self) -> None:
         now = self.core.now
         hosts = [h for h in self.registry.retired if h not in self._dropping]
-        hosts += [h for h in self._releasing if h not in self.registry.retired]
+        hosts += [h for h in self.doomed if h not in self.registry.retired]
         if not hosts or now < self._next_release:
             return
         hosts = hosts[:RELEASE_MOST]
@@ -194,7 +194,7 @@
             self._next_release = float("-inf")
             for host in hosts:
                 self.released[host] = self.core.now
-                self._releasing.discard(host)
+                self.doomed.discard(host)
                 if host in self.registry.retired:
                     self._drop_retired(host)
             log.info("machines released n=%d first=%s", len(hosts), hosts[0])
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -40,7 +40,7 @@
     slots = []
     for machine in held.machines.values():
         kind = types.get(machine.entry.build)
-        if kind is None or not machine.usable or now < machine.refuse_until:
+        if kind is None or not machine.usable or not machine.used or now < machine.refuse_until:
             continue
         if any(
             piece.stage != ENDED and name not in machine.runs
--- a/fallpulley/workers/machine.py
+++ b/fallpulley/workers/machine.py
@@ -61,6 +61,7 @@
         self.failed_jobs: set[str] = set()
         self.completed = 0
         self.refuse_until = float("-inf")
+        self.used = False  # marked in the block's record: tasks may be started
         self.leaving = False  # a record without this machine is being written
         self.idle_since: float | None = None
         self.fence_busy = False
@@ -129,7 +130,11 @@
     machine.pieces = {piece.piece: piece for piece in report.pieces}
     if report.addr and report.addr != machine.entry.addr:
         machine.entry = MachineEntry(
-            report.addr, machine.entry.build, machine.entry.zone, machine.entry.spot
+            report.addr,
+            machine.entry.build,
+            machine.entry.zone,
+            machine.entry.spot,
+            machine.entry.used,
         )
     for piece in report.pieces:
         run = machine.runs.get(piece.piece)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -165,12 +165,43 @@
     world.cut.add((old, "state"))
     for other in others(old):
         world.cut.add((lone.host, other))
+    world.cloud_down = True
     world.run(30.0)
     assert len(world.starts_seen) == 3
     world.cut.clear()
     world.until(lambda: world.stage(uid) == "done", 120.0)
 
 
+def test_machines_that_cannot_hold_tasks_do_not_hold_back_a_taken_over_job() -> None:
+    world = ready(2)
+    world.capacity = 2
+    never = world.machine("a", spot=False)  # in the record, but it does not come up
+    world.workers[never].hung = True
+    world.run(4.0)
+    world.cloud_down = True
+    uid = submit(world, 1, pieces=8)
+    world.until(lambda: len(world.running(uid)) == 4, 20.0)
+    old = world.holder()
+    world.crash(old)
+    world.until(lambda: world.holder() != old, 10.0)
+    # Waiting for the third machine would take the answer window and a lease, 27 s.
+    world.until(lambda: len(world.starts_seen) == 8, 15.0)
+
+
+def test_a_machine_dead_since_the_takeover_is_proved_gone_by_its_release() -> None:
+    world = ready(2)
+    world.capacity = 2
+    uid = submit(world, 1, pieces=8)
+    world.until(lambda: len(world.running(uid)) == 4, 20.0)
+    dead = next(iter(world.workers.values()))
+    dead.hung = True
+    old = world.holder()
+    world.crash(old)
+    world.until(lambda: world.holder() != old, 10.0)
+    world.until(lambda: dead.host in world.released, 5.0)
+    world.until(lambda: world.stage(uid) == "done", 60.0)
+
+
 def test_a_cancel_reaches_tasks_whose_holder_is_cut_off_with_its_machine() -> None:
     world = ready(2)
     world.capacity = 2
