--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -175,12 +175,13 @@
 def test_machines_that_cannot_hold_tasks_do_not_hold_back_a_taken_over_job() -> None:
     world = ready(2)
     world.capacity = 2
+    uid = submit(world, 1, pieces=8)
+    world.times[uid] = 10.0
+    world.until(lambda: len(world.running(uid)) == 4, 20.0)
     never = world.machine("a", spot=False)  # in the record, but it does not come up
     world.workers[never].hung = True
-    world.run(4.0)
+    world.run(3.0)
     world.cloud_down = True
-    uid = submit(world, 1, pieces=8)
-    world.until(lambda: len(world.running(uid)) == 4, 20.0)
     old = world.holder()
     world.crash(old)
     world.until(lambda: world.holder() != old, 10.0)
