A beat's age counts when telling whether we alone lost the state service

Cause: in an outage a beat some seconds old made a controller think that its peer still reached the service, and /up flickered; a new process claimed health before it had read anything.

--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -24,7 +24,7 @@
 from fallpulley.jobs.keeper import JobKeeper
 from fallpulley.jobs.messages import OPEN, WITHDRAWN
 from fallpulley.mesh.messages import Want
-from fallpulley.mesh.peers import Peers
+from fallpulley.mesh.peers import BEAT_S, Peers
 from fallpulley.placement.queue import plan_block
 from fallpulley.settings import Settings
 from fallpulley.state.view import View
@@ -42,6 +42,9 @@
 # A check-in of a machine being granted waits for the record, not longer than this.
 PARK_S = 1.0
 
+# A controller that could read nothing for so long after its start calls that an outage.
+NEVER_READ_BEATS = 4.0
+
 
 class Controller:
     def __init__(self, settings: Settings, boot: str, clock: Callable[[], float]) -> None:
@@ -63,6 +66,7 @@
         self.held: dict[str, HeldBlock] = {}
         self._previous: dict[str, tuple[str, str]] = {}  # block -> holder before us
         self._checkins: list[tuple[Any, HeldBlock, Machine, bool]] = []
+        self._started_at: float | None = None
         self._parked: list[tuple[Any, Report, float]] = []
         self._wants: list[Want] = []
         self._plan_ready_at = float("-inf")
@@ -133,7 +137,14 @@
 
     def healthy(self) -> bool:
         """All but a controller that alone has lost the state service can take requests."""
-        return not self.peers.left_behind(self.fresh_s())
+        core = self.core
+        if self._started_at is None:
+            self._started_at = core.now
+        if self.view.ready:
+            return not self.peers.left_behind(self.view.fresh_at)
+        # Nothing read yet: healthy only if nobody else can read either.
+        waited = core.now - self._started_at > NEVER_READ_BEATS * BEAT_S
+        return waited and not self.peers.left_behind(self._started_at - BEAT_S)
 
     def serving(self) -> bool:
         """Within the answer window: nobody can have proved our machines empty yet."""
--- a/fallpulley/mesh/peers.py
+++ b/fallpulley/mesh/peers.py
@@ -19,7 +19,6 @@
         self.core = core
         self.beats: dict[str, tuple[Beat, float]] = {}
         self.wants: dict[str, tuple[list[Want], float]] = {}
-        self.started_at: float | None = None
         self._next = float("-inf")
 
     def tick(self, fresh_s: float, counts: list[tuple[str, int, int]], wants: list[Want]) -> None:
@@ -48,11 +47,14 @@
         entry = self.beats.get(label)
         return entry is not None and self.core.now - entry[1] < RECENT_BEATS * BEAT_S
 
-    def left_behind(self, fresh_s: float) -> bool:
-        """Peers reach the state service and we do not."""
-        if fresh_s < BEHIND_BEATS * BEAT_S:
-            return False
+    def left_behind(self, fresh_at: float) -> bool:
+        """Peers reached the state service clearly after we last did.
+
+        A beat's age counts: in an outage of the service everybody's last look is as old as
+        ours, whatever a beat of some seconds ago said.
+        """
+        late = fresh_at + BEHIND_BEATS * BEAT_S
         return any(
-            self.recent(label) and beat.fresh_s < BEHIND_BEATS * BEAT_S
-            for label, (beat, _) in self.beats.items()
+            self.recent(label) and at - beat.fresh_s > late
+            for label, (beat, at) in self.beats.items()
         )
