A task put back stands in the queue once; an ensemble's machines are kept together

Cause (story of the ensemble): started tasks leave the queue lazily and were put back a second time; booked twice, they held room that nobody used.

--- a/fallpulley/fleet/desk.py
+++ b/fallpulley/fleet/desk.py
@@ -144,7 +144,9 @@
                 self._levels[key] *= 1 - weight
                 if self._levels[key] > 1.0:
                     _, spot_ok, builds, zone, urgent = key
-                    groups.append(Group(spot_ok, builds, zone, self._levels[key], 0.0, urgent))
+                    groups.append(
+                        Group(spot_ok, builds, zone, self._levels[key], 0.0, urgent=urgent)
+                    )
 
     def _look_over(self, held: HeldBlock, leading: bool) -> None:
         """Machines that never came, went silent, stopped or are faulty go back."""
--- a/fallpulley/fleet/sizing.py
+++ b/fallpulley/fleet/sizing.py
@@ -29,6 +29,7 @@
     zone: str | None
     work: float
     widest: float  # processors of the widest task
+    at_once: float = 0.0  # processors that must be free together: an ensemble's
     urgent: bool = False  # holds work of a high rank
 
 
@@ -102,6 +103,7 @@
             drain_s *= SCARCE_DRAIN
         wanted = group.work / max(1.0, drain_s)
         wanted = max(wanted, group.widest if group.work > 0 else 0.0)
+        wanted = max(wanted, group.at_once)
         # Machines that others cannot use come first, then the fullest: idle ones stay idle.
         usable = [m for m in supply if _fits(group, m.build, m.zone, m.spot)]
         usable.sort(key=lambda m: (not m.spot, m.idle_s is not None, m.idle_s or 0.0))
--- a/fallpulley/jobs/open.py
+++ b/fallpulley/jobs/open.py
@@ -33,6 +33,7 @@
         self.durable_done = 0
         self.runs: dict[int, Run] = {}
         self.queue: deque[int] = deque(range(spec.pieces))
+        self.queued = bytearray(b"\1") * spec.pieces  # which indices stand in the queue
         self.withdrawn = False
         # An ensemble runs together or not at all: once a task has to start again, the others
         # are stopped, and all start anew when none is left.
@@ -71,18 +72,16 @@
         return self.done >= self.spec.pieces
 
     def waiting(self, most: int) -> list[int]:
-        """The first tasks that are neither done nor on a machine."""
+        """The first tasks that are neither done nor on a machine, each once."""
+        queue = self.queue
+        while queue and (queue[0] in self.runs or self.is_done(queue[0])):
+            self.queued[queue.popleft()] = 0
         found: list[int] = []
-        stale = 0
-        for index in self.queue:
-            if index in self.runs or self.is_done(index):
-                stale += 1
-                continue
-            found.append(index)
-            if len(found) >= most:
-                break
-        if stale > 64:
-            self.queue = deque(i for i in self.queue if i not in self.runs and not self.is_done(i))
+        for index in queue:
+            if index not in self.runs and not self.is_done(index):
+                found.append(index)
+                if len(found) >= most:
+                    break
         return found
 
     def waiting_count(self) -> int:
@@ -90,7 +89,10 @@
 
     def put_back(self, index: int) -> None:
         if not self.is_done(index):
-            self.queue.appendleft(index)
+            # A started task leaves the queue lazily; twice in it, it would be booked twice.
+            if not self.queued[index]:
+                self.queue.appendleft(index)
+                self.queued[index] = 1
             self.broken = self.spec.shape == ENSEMBLE and bool(self.runs)
 
     def failed(self, host: str, now: float, lease_s: float) -> None:
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -278,9 +278,13 @@
         builds = tuple(sorted(spec.builds)) if spec.builds is not None else None
         urgent = RANKS[spec.rank] >= URGENT_RANK
         key = (spec.loaners, builds, spec.hall, urgent)
-        group = groups.setdefault(key, Group(spec.loaners, builds, spec.hall, 0.0, 0.0, urgent))
+        group = groups.setdefault(
+            key, Group(spec.loaners, builds, spec.hall, 0.0, 0.0, urgent=urgent)
+        )
         group.work += work
         group.widest = max(group.widest, processors)
+        if spec.shape == ENSEMBLE:
+            group.at_once = max(group.at_once, spec.pieces * processors)
     return list(groups.values())
 
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -17,6 +17,7 @@
 from fallpulley.settings import SettingsError, load
 from fallpulley.state.lane import Change, Lane, Order, Write
 from fallpulley.wire.limit import AdaptiveLimit
+from fallpulley.workers.machine import Run
 from tests.world import job
 
 GOOD = """
@@ -199,3 +200,20 @@
     assert sizes["a"] > 2 * sizes["b"] > 0
     assert target_sizes({"a": 1000.0, "b": 1.0}, 20, 60)["b"] >= 1
     assert sum(target_sizes({"a": 0.0, "b": 0.0}, 7, 60).values()) == 7
+
+
+def test_a_task_put_back_stands_in_the_queue_once() -> None:
+    """Started tasks leave the queue lazily; put back, they were booked twice."""
+    again = open_job(4)
+    run = Run(again.job, 0, 1, "vm-1", 0.0, 1.0, again.need)
+    for _ in range(3):
+        again.runs[0] = again.runs[1] = run
+        assert again.waiting(10) == [2, 3]
+        del again.runs[0], again.runs[1]
+        again.put_back(0)
+        again.put_back(1)
+        assert sorted(again.waiting(10)) == [0, 1, 2, 3]
+    again.runs[3] = run
+    del again.runs[3]
+    again.put_back(3)
+    assert sorted(again.waiting(10)) == [0, 1, 2, 3]
