--- /dev/null
+++ b/fallpulley/blocks/held.py
@@ -0,0 +1,379 @@
+"""A block this controller holds: its machines, its open jobs, and what runs where.
+
+In memory only. After a takeover all of it is rebuilt from the machines' own reports; until
+each machine of the block has reported under our token or is proved empty, tasks of jobs
+accepted before the takeover may still be running somewhere and are not started.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterator
+
+import msgspec
+
+from fallpulley.blocks.messages import BlockRecord
+from fallpulley.core import Core
+from fallpulley.jobs.messages import JobRecord, split_piece
+from fallpulley.jobs.open import OpenJob
+from fallpulley.placement.estimate import Corrections, run_estimate
+from fallpulley.placement.plan import Booking
+from fallpulley.workers.machine import Machine, Outcome, Run, absorb
+from fallpulley.workers.messages import ENDED, RUNNING, Direct, Order, PieceState, Report
+
+log = logging.getLogger(__name__)
+
+# Attempt numbers: the stamp of the takeover, then a counter. No other holder can make them.
+COUNTER_BITS = 22
+# A machine on which so many different jobs failed, and that completed less, is faulty.
+FAULTY_JOBS = 3
+# One observed run time against the machine's known slowness.
+SLOW_WEIGHT = 0.2
+
+
+class HeldBlock:
+    def __init__(self, core: Core, label: str, record: BlockRecord, stamp: int, fresh: bool):
+        self.core = core
+        self.label = label
+        self.record = record
+        self.token = stamp
+        self.taken_stamp = stamp
+        self.taken_at = core.now
+        # The earlier holder may answer its machines until its window ends; a machine that
+        # cannot be reached is empty a lease later.
+        self.empty_at = core.now + core.window_s + core.lease_over_s
+        self.machines = {
+            host: Machine(host, entry, stamp, core.now) for host, entry in record.machines.items()
+        }
+        self.unproven: set[str] = set() if fresh else set(self.machines)
+        self.loaded = fresh  # progress values have been read
+        self.jobs: dict[str, OpenJob] = {}
+        self.booked: dict[str, list[Booking]] = {}
+        self.dirty = True
+        self.counter = 0
+        self.pending_write = False
+        self.corrections = Corrections()
+
+    # -- jobs ------------------------------------------------------------------------------
+
+    def add_job(self, job: str, record: JobRecord, stamp: int) -> None:
+        if record.spec is None:
+            return
+        self.jobs[job] = OpenJob(job, record, record.spec, stamp)
+        self.dirty = True
+
+    def doubtful(self, job: OpenJob) -> bool:
+        """Tasks of this job may be running where we cannot see them."""
+        if not self.unproven and self.loaded:
+            return False
+        return job.stamp <= self.taken_stamp
+
+    def end_job(self, job: OpenJob, withdrawn: bool) -> None:
+        """The record is final: nothing of the job may start or go on."""
+        job.withdrawn = True
+        self.dirty = True
+        for run in list(job.runs.values()):
+            self.stop(run, 0.0)
+        if not job.runs:
+            self.jobs.pop(job.job, None)
+        log.info("job ended job=%s withdrawn=%s runs=%d", job.job, withdrawn, len(job.runs))
+
+    def runs(self) -> Iterator[Run]:
+        for machine in self.machines.values():
+            yield from machine.runs.values()
+
+    def usage(self, team: str) -> tuple[float, float]:
+        """What a team's tasks use, counting all that are not proved gone."""
+        cpus = cards = 0.0
+        for job in self.jobs.values():
+            if job.spec.crew == team:
+                cpus += job.need[0] * len(job.runs)
+                cards += job.need[1] * len(job.runs)
+        return cpus, cards
+
+    def estimate(self, job: OpenJob) -> float:
+        corrected = job.spec.expect_s * self.corrections.factor(job.spec.jobclass)
+        return run_estimate(corrected, job.observed, job.observed_s)
+
+    # -- machines --------------------------------------------------------------------------
+
+    def update(self, record: BlockRecord, stamp: int) -> None:
+        """A newer record of the block we hold: machines came or went."""
+        self.record = record
+        self.token = stamp
+        for host in list(self.machines):
+            if host not in record.machines:
+                machine = self.machines.pop(host)
+                self.lose_runs(machine, "left")
+                self.unproven.discard(host)
+        for host, entry in record.machines.items():
+            if host not in self.machines:
+                self.machines[host] = Machine(host, entry, stamp, self.core.now)
+                log.info("machine granted machine=%s block=%s term=%d", host, self.label, stamp)
+        self.dirty = True
+
+    def lose_runs(self, machine: Machine, why: str) -> None:
+        """The machine's tasks are proved gone."""
+        if machine.runs:
+            log.info("tasks gone machine=%s why=%s tasks=%d", machine.host, why, len(machine.runs))
+        for run in list(machine.runs.values()):
+            self._gone(run)
+        machine.runs.clear()
+        machine.pieces = {}
+        self.dirty = True
+
+    def settle_silent(self) -> None:
+        """Machines whose lease is certainly over hold nothing any more."""
+        now = self.core.now
+        for machine in self.machines.values():
+            if machine.up and now > machine.replied_at + self.core.lease_over_s:
+                log.info("machine silent machine=%s", machine.host)
+                machine.up = False
+                machine.images.clear()
+                self.lose_runs(machine, "lease")
+        if self.unproven and now > self.empty_at:
+            log.info("machines proved empty block=%s n=%d", self.label, len(self.unproven))
+            self.unproven.clear()
+            self.dirty = True
+
+    def old_holder_ended(self) -> None:
+        """The earlier holder's process is gone: it answers nobody from now on."""
+        self.empty_at = min(self.empty_at, self.core.now + self.core.lease_over_s)
+
+    def take_report(self, machine: Machine, report: Report, checkin: bool) -> bool:
+        """Take in a report; False when it is not newer than what we know."""
+        now = self.core.now
+        if not machine.newer(report):
+            return False
+        if report.baton >= machine.since and not machine.settled:
+            machine.settled = True
+            self.dirty = True
+        if not machine.settled:
+            machine.shift, machine.tick = report.shift, report.tick
+            self._note_up(machine, checkin)
+            return True
+        was_usable = machine.usable
+        outcome = absorb(machine, report, now, checkin)
+        if checkin:
+            self._note_up(machine, checkin)
+        self._act(machine, outcome)
+        if self.unproven and machine.host in self.unproven:
+            self.unproven.discard(machine.host)
+            if not self.unproven:
+                log.info("block settled block=%s term=%d", self.label, self.token)
+            self.dirty = True
+        if machine.usable != was_usable:
+            self.dirty = True
+        if machine.recall_at is not None:
+            self._recall(machine)
+        return True
+
+    def _note_up(self, machine: Machine, checkin: bool) -> None:
+        if checkin:
+            if not machine.up:
+                self.dirty = True
+                log.info("machine up machine=%s shift=%d", machine.host, machine.shift)
+            machine.up = machine.ever_up = True
+            machine.heard_at = self.core.now
+
+    def _act(self, machine: Machine, outcome: Outcome) -> None:
+        now = self.core.now
+        for run in outcome.vanished:
+            self._gone(run)
+            if run.seen:
+                log.info("task vanished task=%s machine=%s", run.piece, run.host)
+        for ended, piece in outcome.ended:
+            self._ended(machine, ended, piece)
+        for run in outcome.began:
+            kind = self.jobs.get(run.job)
+            if kind is not None:
+                machine.fetching.pop(kind.spec.kit, None)
+        for piece in outcome.strangers:
+            self._stranger(machine, piece)
+        if outcome.vanished or outcome.ended:
+            self.dirty = True
+        if machine.empty:
+            if machine.idle_since is None:
+                machine.idle_since = now
+        else:
+            machine.idle_since = None
+
+    def _ended(self, machine: Machine, run: Run | None, piece: PieceState) -> None:
+        named = split_piece(piece.piece)
+        job = self.jobs.get(named[0]) if named else None
+        if named is None or job is None:
+            return
+        if run is not None:
+            job.runs.pop(run.index, None)
+        if piece.cause == "done":
+            if job.mark_done(named[1], self.core.now):
+                log.debug("task done task=%s machine=%s", piece.piece, machine.host)
+                self._learn(machine, job, run)
+        elif run is not None:
+            log.info(
+                "task ended task=%s machine=%s cause=%s", piece.piece, machine.host, piece.cause
+            )
+            job.put_back(run.index)
+            if piece.cause == "error":
+                job.failed(machine.host, self.core.now, self.core.lease_s)
+                machine.failed_jobs.add(job.job)
+            elif piece.cause in ("full", "in_use", "unknown"):
+                machine.refuse_until = self.core.now + self.core.report_s
+        if job.withdrawn and not job.runs:
+            self.jobs.pop(job.job, None)
+
+    def _learn(self, machine: Machine, job: OpenJob, run: Run | None) -> None:
+        machine.completed += 1
+        if run is None or run.running_at is None:
+            return
+        took = max(0.1, self.core.now - run.running_at)
+        expected = self.estimate(job)
+        ratio = max(0.3, min(8.0, took / expected))
+        machine.slowness += SLOW_WEIGHT * (ratio - machine.slowness)
+        job.observed += 1
+        job.observed_s += took
+        self.corrections.learn(job.spec.jobclass, job.spec.expect_s, took)
+
+    def _stranger(self, machine: Machine, piece: PieceState) -> None:
+        """A task on the machine that we did not start in this life: keep it or stop it."""
+        named = split_piece(piece.piece)
+        job = self.jobs.get(named[0]) if named else None
+        if (
+            named is None
+            or job is None
+            or job.withdrawn
+            or named[1] >= job.spec.pieces
+            or job.is_done(named[1])
+            or named[1] in job.runs
+            or piece.piece in machine.runs
+        ):
+            return  # stopped with the next orders
+        run = Run(
+            job.job,
+            named[1],
+            piece.attempt,
+            machine.host,
+            self.core.now,
+            self.estimate(job),
+            job.need,
+            seen=True,
+            stage=piece.stage,
+            running_at=self.core.now if piece.stage == RUNNING else None,
+        )
+        job.runs[run.index] = run
+        machine.runs[run.piece] = run
+        self.dirty = True
+        log.info("task adopted task=%s machine=%s", run.piece, machine.host)
+
+    def _gone(self, run: Run) -> None:
+        job = self.jobs.get(run.job)
+        if job is None or job.runs.get(run.index) is not run:
+            return
+        del job.runs[run.index]
+        job.put_back(run.index)
+        self.dirty = True
+        if job.withdrawn and not job.runs:
+            self.jobs.pop(job.job, None)
+
+    def _recall(self, machine: Machine) -> None:
+        """The cloud takes the machine: tasks that cannot finish leave it while they can save."""
+        left = (machine.recall_at or 0.0) - self.core.now
+        for run in machine.runs.values():
+            job = self.jobs.get(run.job)
+            if job is None or run.stopping is not None:
+                continue
+            spent = self.core.now - (run.running_at or self.core.now)
+            if run.running_at is not None and run.estimate_s - spent < left - 1.0:
+                continue
+            saves = job.spec.bookmark_s > 0
+            if saves and left > job.spec.stow_s + 2 * self.core.report_s:
+                continue  # there is time for more work before saving
+            self.stop(run, left if saves else 0.0)
+
+    # -- commands --------------------------------------------------------------------------
+
+    def start(self, machine: Machine, job: OpenJob, booking: Booking, estimate_s: float) -> Order:
+        self.counter += 1
+        run = Run(
+            job.job,
+            booking.index,
+            (self.taken_stamp << COUNTER_BITS) + self.counter,
+            machine.host,
+            self.core.now,
+            estimate_s,
+            job.need,
+        )
+        job.runs[booking.index] = run
+        machine.runs[run.piece] = run
+        machine.idle_since = None
+        return Order("run", run.piece, run.attempt)
+
+    def stop(self, run: Run, windup_s: float) -> None:
+        """Stop with the next orders, and directly now if the machine can be reached."""
+        run.stopping = windup_s
+        machine = self.machines.get(run.host)
+        if machine is not None and run.seen and machine.entry.addr:
+            self.direct(machine, [Order("stop", run.piece, run.attempt, windup_s)])
+
+    def direct(self, machine: Machine, orders: list[Order]) -> None:
+        def done(status: int | None, body: bytes, sent_at: float) -> None:
+            self._direct_answer(machine, status, body)
+
+        message = msgspec.json.encode(Direct(self.token, machine.shift or 1, orders))
+        self.core.call(machine.entry.addr, "POST", "/do", message, 1.5, done)
+
+    def _direct_answer(self, machine: Machine, status: int | None, body: bytes) -> None:
+        machine.fence_busy = False
+        if status not in (200, 409) or self.machines.get(machine.host) is not machine:
+            return
+        try:
+            report = msgspec.json.decode(body, type=Report)
+        except msgspec.MsgspecError:
+            return
+        if report.host != machine.host:
+            return
+        if status == 200:
+            self.take_report(machine, report, checkin=False)
+        elif not machine.settled and report.shift > machine.shift:
+            machine.shift = report.shift
+            machine.fence_at = float("-inf")
+
+    def fence(self) -> None:
+        """Bring our token to the machines of a block just taken; their answers are reports."""
+        now = self.core.now
+        for machine in self.machines.values():
+            if (
+                machine.host in self.unproven
+                and not machine.settled
+                and machine.entry.addr
+                and not machine.fence_busy
+                and now >= machine.fence_at
+            ):
+                machine.fence_busy = True
+                machine.fence_at = now + 0.5 * self.core.report_s
+                self.direct(machine, [])
+
+    def orders(self, machine: Machine) -> list[Order]:
+        """Clears and stops for a check-in's reply."""
+        orders: list[Order] = []
+        for name, piece in machine.pieces.items():
+            named = split_piece(name)
+            job = self.jobs.get(named[0]) if named else None
+            if piece.stage == ENDED:
+                if self._clearable(job, named, piece):
+                    orders.append(Order("clear", name, piece.attempt))
+                continue
+            run = machine.runs.get(name)
+            if run is None or run.attempt != piece.attempt:
+                orders.append(Order("stop", name, piece.attempt, 0.0))
+            elif run.stopping is not None:
+                orders.append(Order("stop", name, piece.attempt, run.stopping))
+        return orders
+
+    def _clearable(
+        self, job: OpenJob | None, named: tuple[str, int] | None, piece: PieceState
+    ) -> bool:
+        """The end is durable, or of no use; and we never repeat an attempt's `run`."""
+        if job is None or named is None or piece.cause != "done" or job.withdrawn:
+            return True
+        return named[1] < job.spec.pieces and job.is_durable(named[1])
--- /dev/null
+++ b/fallpulley/blocks/leadership.py
@@ -0,0 +1,118 @@
+"""The leader, and who takes over or opens blocks."""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+
+from fallpulley.blocks.messages import BlockRecord, Session
+from fallpulley.blocks.registry import BLOCKS, LEADER, SESSIONS, Registry
+from fallpulley.blocks.session import SessionKeeper
+from fallpulley.core import Core
+from fallpulley.state.lane import Change, Order, Write
+from fallpulley.state.view import View
+
+log = logging.getLogger(__name__)
+
+
+class Leadership:
+    """Every step is one transaction, conditioned on what it was decided on: the old holder's
+    session key as it was seen (gone, or replaced by a newer process), the block's stamp and
+    our own session. Whoever comes second finds a stamp changed."""
+
+    def __init__(self, core: Core, view: View, registry: Registry, session: SessionKeeper) -> None:
+        self.core = core
+        self.view = view
+        self.registry = registry
+        self.session = session
+        self._busy: dict[str, float] = {}
+
+    @property
+    def term(self) -> int | None:
+        """The term in which we lead, or None."""
+        leader = self.registry.leader
+        if leader is None or leader[0].boot != self.core.boot or not self.session.live():
+            return None
+        return leader[1]
+
+    def tick(self) -> None:
+        if not self.view.ready or not self.session.live():
+            return
+        leader = self.registry.leader
+        if leader is None or (
+            leader[0].label == self.core.label and leader[0].boot != self.core.boot
+        ):
+            self._lead()
+        leading = self.term is not None
+        for label, (record, stamp) in self.registry.blocks.items():
+            ours = record.holder == self.core.label and record.boot != self.core.boot
+            if ours or (leading and not self.registry.holder_alive(record)):
+                self._take(label, record, stamp)
+        if leading and not self.registry.blocks:
+            self._open(self.core.label)
+
+    def _guard(self, key: str) -> bool:
+        """One write a key at a time; repeated when its answer is overdue."""
+        now = self.core.now
+        if now < self._busy.get(key, float("-inf")):
+            return False
+        self._busy[key] = now + 1.0
+        return True
+
+    def _done(self, key: str, what: str) -> None:
+        log.debug("leadership write key=%s %s", key, what)
+        self._busy[key] = self.core.now + 0.2
+
+    def _lead(self) -> None:
+        if not self._guard(LEADER):
+            return
+        value = msgspec.json.encode(Session(self.core.label, self.core.boot))
+        self.core.lane.write(
+            Write(
+                {
+                    LEADER: self.view.stamp(LEADER),
+                    self.session.key: self.view.stamp(self.session.key),
+                },
+                [Change(LEADER, value, self.session.tenure)],
+                lambda status, ledger: self._done(LEADER, f"lead {status}"),
+                Order.RENEWAL,
+                alone=True,
+                expires_at=self.core.now + 0.9,
+            )
+        )
+
+    def _take(self, label: str, record: BlockRecord, stamp: int) -> None:
+        key = BLOCKS + label
+        if not self._guard(key):
+            return
+        log.info("takeover begins block=%s from=%s term=%d", label, record.holder, stamp)
+        old = SESSIONS + record.holder
+        conditions = {
+            key: stamp,
+            self.session.key: self.view.stamp(self.session.key),
+            old: self.view.stamp(old),
+        }
+        value = msgspec.json.encode(BlockRecord(self.core.label, self.core.boot, record.machines))
+        self._write(key, conditions, value)
+
+    def _open(self, label: str) -> None:
+        key = BLOCKS + label
+        if not self._guard(key):
+            return
+        conditions = {key: 0, self.session.key: self.view.stamp(self.session.key)}
+        self._write(
+            key, conditions, msgspec.json.encode(BlockRecord(self.core.label, self.core.boot, {}))
+        )
+
+    def _write(self, key: str, conditions: dict[str, int], value: bytes) -> None:
+        self.core.lane.write(
+            Write(
+                conditions,
+                [Change(key, value)],
+                lambda status, ledger: self._done(key, f"take {status}"),
+                Order.RENEWAL,
+                alone=True,
+                expires_at=self.core.now + 0.9,
+            )
+        )
--- /dev/null
+++ b/fallpulley/blocks/registry.py
@@ -0,0 +1,90 @@
+"""The shared records of sessions, leadership, blocks and machines, as last seen."""
+
+from __future__ import annotations
+
+import logging
+from typing import TypeVar
+
+import msgspec
+
+from fallpulley.blocks.messages import BlockRecord, Session, TeamHome
+from fallpulley.fleet.messages import Catalog, MachineType
+
+log = logging.getLogger(__name__)
+
+LEADER = "live/leader"
+CATALOG = "live/catalog"
+BLOCKS, SESSIONS, TEAMS, RETIRED = "live/block/", "live/session/", "live/team/", "live/retire/"
+
+T = TypeVar("T")
+
+
+class Registry:
+    def __init__(self) -> None:
+        self.sessions: dict[str, tuple[Session, int]] = {}
+        self.leader: tuple[Session, int] | None = None
+        self.blocks: dict[str, tuple[BlockRecord, int]] = {}
+        self.host_block: dict[str, str] = {}
+        self.homes: dict[str, str] = {}
+        self.retired: dict[str, int] = {}
+        self.types: dict[str, MachineType] = {}
+        self.lost_sessions: dict[str, int] = {}  # label -> stamp at which it was last dropped
+
+    def on_key(self, key: str, value: bytes | None, stamp: int) -> None:
+        if key.startswith(BLOCKS):
+            self._on_block(key[len(BLOCKS) :], _decode(value, BlockRecord), stamp)
+        elif key.startswith(SESSIONS):
+            label = key[len(SESSIONS) :]
+            session = _decode(value, Session)
+            if session is None:
+                self.sessions.pop(label, None)
+            else:
+                self.sessions[label] = (session, stamp)
+        elif key == LEADER:
+            leader = _decode(value, Session)
+            self.leader = None if leader is None else (leader, stamp)
+            log.info("leader %s term=%d", leader.label if leader else "none", stamp)
+        elif key.startswith(RETIRED):
+            if value is None:
+                self.retired.pop(key[len(RETIRED) :], None)
+            else:
+                self.retired[key[len(RETIRED) :]] = stamp
+        elif key.startswith(TEAMS):
+            home = _decode(value, TeamHome)
+            if home is not None:
+                self.homes[key[len(TEAMS) :]] = home.block
+        elif key == CATALOG:
+            catalog = _decode(value, Catalog)
+            if catalog is not None:
+                self.types = {kind.label: kind for kind in catalog.builds}
+
+    def _on_block(self, label: str, record: BlockRecord | None, stamp: int) -> None:
+        old = self.blocks.get(label)
+        if old is not None:
+            for host in old[0].machines:
+                if self.host_block.get(host) == label:
+                    del self.host_block[host]
+        if record is None:
+            self.blocks.pop(label, None)
+            return
+        self.blocks[label] = (record, stamp)
+        for host in record.machines:
+            self.host_block[host] = label
+
+    def holder_of(self, label: str) -> str | None:
+        entry = self.blocks.get(label)
+        return None if entry is None else entry[0].holder
+
+    def holder_alive(self, record: BlockRecord) -> bool:
+        session = self.sessions.get(record.holder)
+        return session is not None and session[0].boot == record.boot
+
+
+def _decode(value: bytes | None, shape: type[T]) -> T | None:
+    if value is None:
+        return None
+    try:
+        return msgspec.json.decode(value, type=shape)
+    except msgspec.MsgspecError:
+        log.error("state broken record %.80r", value)
+        return None
--- /dev/null
+++ b/fallpulley/controller.py
@@ -0,0 +1,383 @@
+"""The owner of all state of one controller: takes commands in batches, returns effects.
+
+No I/O happens here. `serve` posts what arrives and carries out what is asked for.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from fallpulley.blocks.held import HeldBlock
+from fallpulley.blocks.leadership import Leadership
+from fallpulley.blocks.registry import BLOCKS, SESSIONS, Registry
+from fallpulley.blocks.session import SessionKeeper
+from fallpulley.blocks.writer import BlockWriter
+from fallpulley.core import Core
+from fallpulley.effects import Command, Effect, PeerMessage, Request, Result
+from fallpulley.fleet.desk import FleetDesk
+from fallpulley.fleet.keeper import FleetKeeper
+from fallpulley.jobs.desk import JOBS, JobDesk
+from fallpulley.jobs.keeper import JobKeeper
+from fallpulley.jobs.messages import OPEN, WITHDRAWN
+from fallpulley.mesh.messages import Want
+from fallpulley.mesh.peers import Peers
+from fallpulley.placement.queue import plan_block
+from fallpulley.settings import Settings
+from fallpulley.state.view import View
+from fallpulley.workers.machine import Machine
+from fallpulley.workers.messages import Foreman, Order, Orders, Report, parse_report
+
+log = logging.getLogger(__name__)
+
+# A watch returns at least so often within a session: its return proves the copy fresh.
+HOLDS_PER_SESSION = 3.0
+# Of its time, a controller plans at most one part in so many.
+PLAN_SHARE = 4.0
+# Estimates run out while nothing happens: plan again at least every so many reports.
+REPLAN_REPORTS = 1.0
+# A check-in of a machine being granted waits for the record, not longer than this.
+PARK_S = 1.0
+
+
+class Controller:
+    def __init__(self, settings: Settings, boot: str, clock: Callable[[], float]) -> None:
+        self.core = Core(settings, boot, clock)
+        core = self.core
+        nodes = max(1, settings.facts.nodes)
+        # Looks at the changes may use half of this controller's share of the requests.
+        spacing_s = max(0.05, 2.0 * nodes / settings.facts.state.rps)
+        self.view = View(core.lane, self._on_key, core.session_s / HOLDS_PER_SESSION, spacing_s)
+        self.registry = Registry()
+        self.desk = JobDesk(core, self.view, self.registry)
+        self.session = SessionKeeper(core, self.view)
+        self.leadership = Leadership(core, self.view, self.registry, self.session)
+        self.writer = BlockWriter(core, self.view, self.registry)
+        self.keeper = FleetKeeper(core, self.view, self.registry, self.writer)
+        self.fleet = FleetDesk(core, self.registry, self.writer, self.keeper)
+        self.job_keeper = JobKeeper(core)
+        self.peers = Peers(core)
+        self.held: dict[str, HeldBlock] = {}
+        self._previous: dict[str, tuple[str, str]] = {}  # block -> holder before us
+        self._checkins: list[tuple[Any, HeldBlock, Machine, bool]] = []
+        self._parked: list[tuple[Any, Report, float]] = []
+        self._wants: list[Want] = []
+        self._plan_ready_at = float("-inf")
+        self._replan_at = float("-inf")
+
+    # -- the batch -------------------------------------------------------------------------
+
+    def step(self, batch: list[Command], now: float, wall: float) -> list[Effect]:
+        core = self.core
+        core.now, core.wall = now, wall
+        for command in batch:
+            try:
+                self._take(command)
+            except Exception:
+                # One broken message must not end the process or lose the rest of the batch.
+                log.exception("command failed %s", type(command).__name__)
+                if isinstance(command, Request):
+                    core.answer(command.ticket, 503, b'{"error":"internal"}', 1.0)
+        self._tick()
+        self._plan()
+        self._answer_checkins()
+        core.lane.pump(now)
+        effects, core.effects[:] = list(core.effects), []
+        return effects
+
+    def _take(self, command: Command) -> None:
+        if isinstance(command, Result):
+            command.done(command.status, command.body, command.sent_at)
+        elif isinstance(command, PeerMessage):
+            self._peer(command.body)
+        else:
+            self._request(command)
+
+    def _request(self, request: Request) -> None:
+        path = request.path.partition("?")[0]
+        ticket, method = request.ticket, request.method
+        answer = self.core.answer
+        if path == "/checkin":
+            if method != "POST":
+                answer(ticket, 405)
+            else:
+                self._checkin(ticket, request.body)
+        elif path == "/up":
+            if method not in ("GET", "HEAD"):
+                answer(ticket, 405)
+            else:
+                answer(ticket, 200 if self.healthy() else 503)
+        elif path == "/work":
+            if method != "POST":
+                answer(ticket, 405)
+            else:
+                self.desk.submit(ticket, request.body)
+        elif path.startswith("/work/"):
+            job, _, verb = path[len("/work/") :].partition("/")
+            if verb == "" and method == "GET":
+                self.desk.query(ticket, job)
+            elif verb == "abort" and method == "POST":
+                self.desk.abort(ticket, job)
+            elif verb in ("", "abort"):
+                answer(ticket, 405)
+            else:
+                answer(ticket, 404)
+        else:
+            answer(ticket, 404)
+
+    def fresh_s(self) -> float:
+        return self.core.now - self.view.fresh_at
+
+    def healthy(self) -> bool:
+        """All but a controller that alone has lost the state service can take requests."""
+        return not self.peers.left_behind(self.fresh_s())
+
+    def serving(self) -> bool:
+        """Within the answer window: nobody can have proved our machines empty yet."""
+        last = min(self.session.renewed_at, self.view.fresh_at)
+        return self.core.now < last + self.core.window_s
+
+    def _peer(self, body: bytes) -> None:
+        beat = self.peers.take(body)
+        if beat is None:
+            return
+        for job, done, running in beat.counts:
+            if job in self.desk.known and self.desk.known[job].stage == OPEN:
+                self.desk.counts[job] = (done, running)
+        if self.leadership.term is not None:
+            for want in beat.wants:
+                if want.block in self.registry.blocks and want.number > 0:
+                    self.keeper.hire(want.block, want.build, want.zone, want.spot, want.number)
+
+    # -- shared records --------------------------------------------------------------------
+
+    def _on_key(self, key: str, value: bytes | None, stamp: int) -> None:
+        if key.startswith(JOBS):
+            self._on_job(key[len(JOBS) :], value, stamp)
+            return
+        previous = None
+        if key.startswith(BLOCKS):
+            entry = self.registry.blocks.get(key[len(BLOCKS) :])
+            previous = (entry[0].holder, entry[0].boot) if entry else None
+        self.registry.on_key(key, value, stamp)
+        if key.startswith(BLOCKS):
+            self._on_block(key[len(BLOCKS) :], previous)
+        elif key.startswith(SESSIONS):
+            self._check_old_holders()
+
+    def _on_job(self, job: str, value: bytes | None, stamp: int) -> None:
+        known = self.desk.on_record(job, value, stamp)
+        if known is None:
+            return
+        held = self.held.get(known.block)
+        if held is None:
+            return
+        open_job = held.jobs.get(job)
+        if known.record is None:
+            if open_job is not None:
+                held.end_job(open_job, known.stage == WITHDRAWN)
+        elif open_job is None:
+            held.add_job(job, known.record, stamp)
+
+    def _on_block(self, label: str, previous: tuple[str, str] | None) -> None:
+        core = self.core
+        entry = self.registry.blocks.get(label)
+        held = self.held.get(label)
+        ours = entry is not None and (entry[0].holder, entry[0].boot) == (core.label, core.boot)
+        if not ours or entry is None:
+            if held is not None:
+                log.info("block lost block=%s term=%d", label, held.token)
+                del self.held[label]
+                self.writer.drop_removals(label)
+            return
+        record, stamp = entry
+        if held is not None:
+            held.update(record, stamp)
+            return
+        held = HeldBlock(core, label, record, stamp, fresh=previous is None)
+        self.held[label] = held
+        self._previous[label] = previous or (core.label, core.boot)
+        log.info(
+            "block held block=%s term=%d machines=%d from=%s",
+            label,
+            stamp,
+            len(record.machines),
+            previous,
+        )
+        for job in self.desk.open_by_block.get(label, ()):
+            known = self.desk.known[job]
+            if known.record is not None:
+                held.add_job(job, known.record, known.stamp)
+        self._check_old_holders()
+
+    def _check_old_holders(self) -> None:
+        """A newer process of a label means that the older one has ended."""
+        for label, held in self.held.items():
+            holder, boot = self._previous.get(label, ("", ""))
+            if not held.unproven or not holder:
+                continue
+            session = self.registry.sessions.get(holder)
+            newer = session is not None and session[0].boot != boot
+            if newer or (holder == self.core.label and boot != self.core.boot):
+                held.old_holder_ended()
+                self._previous[label] = ("", "")
+
+    # -- check-ins -------------------------------------------------------------------------
+
+    def _checkin(self, ticket: Any, body: bytes) -> None:
+        report = parse_report(body)
+        if report is None:
+            self.core.answer(ticket, 400, b'{"error":"malformed"}')
+            return
+        self._route(ticket, report, self.core.now + PARK_S)
+
+    def _route(self, ticket: Any, report: Report, park_until: float) -> None:
+        core = self.core
+        if not self.view.loaded or not self.serving():
+            core.answer(ticket, 503, b"", 1.0)
+            return
+        label = self.registry.host_block.get(report.host)
+        if label is None:
+            self._unknown_machine(ticket, report, park_until)
+            return
+        held = self.held.get(label)
+        if held is None:
+            self._redirect(ticket, self.registry.holder_of(label))
+            return
+        machine = held.machines.get(report.host)
+        if machine is None or report.baton > held.token:
+            # Somebody with a higher token has spoken to it: our copy is behind.
+            core.answer(ticket, 503, b"", 1.0)
+            return
+        newer = held.take_report(machine, report, checkin=True)
+        self._checkins.append((ticket, held, machine, newer))
+
+    def _redirect(self, ticket: Any, holder: str | None) -> None:
+        if holder is None or holder == self.core.label:
+            self.core.answer(ticket, 503, b"", 1.0)
+            return
+        self.core.answer(ticket, 421, msgspec.json.encode(Foreman(holder)))
+
+    def _unknown_machine(self, ticket: Any, report: Report, park_until: float) -> None:
+        """Only the leader grants machines to blocks."""
+        core = self.core
+        leader = self.registry.leader
+        if self.leadership.term is None:
+            self._redirect(ticket, leader[0].label if leader else None)
+            return
+        coming = self.writer.coming(report.host) or self.keeper.adopt(
+            report.host, report.addr, report.build, report.hall, report.loaners
+        )
+        if coming and core.now < park_until:
+            self._parked.append((ticket, report, park_until))
+            return
+        core.answer(ticket, 503, b"", 1.0)
+
+    def _unpark(self) -> None:
+        parked, self._parked = self._parked, []
+        for ticket, report, until in parked:
+            if report.host in self.registry.host_block or self.core.now >= until:
+                self._route(ticket, report, until)
+            else:
+                self._parked.append((ticket, report, until))
+
+    def _answer_checkins(self) -> None:
+        checkins, self._checkins = self._checkins, []
+        for ticket, held, machine, newer in checkins:
+            if self.held.get(held.label) is not held or machine.host not in held.machines:
+                self.core.answer(ticket, 503, b"", 1.0)
+                continue
+            orders: list[Order] = []
+            if newer and machine.settled:
+                orders = held.orders(machine)
+                if machine.usable and self.view.ready:
+                    orders += self._runs(held, machine)
+            machine.replied_at = self.core.now
+            body = msgspec.json.encode(Orders(held.token, orders))
+            self.core.answer(ticket, 200, body)
+
+    def _runs(self, held: HeldBlock, machine: Machine) -> list[Order]:
+        """The tasks booked on the machine from now on."""
+        orders = []
+        for booking in held.booked.pop(machine.host, ()):
+            job = held.jobs.get(booking.job)
+            if (
+                job is None
+                or job.withdrawn
+                or booking.index in job.runs
+                or job.is_done(booking.index)
+            ):
+                continue
+            orders.append(held.start(machine, job, booking, held.estimate(job)))
+            self._expect_image(machine, job.spec.kit, job.spec.size_gb)
+        return orders
+
+    def _expect_image(self, machine: Machine, image: str, size_gb: float) -> None:
+        kind = self.registry.types.get(machine.entry.build)
+        if kind is None:
+            return
+        if image not in machine.images:
+            now = self.core.now
+            begin = max([now, *machine.fetching.values()])
+            machine.fetching[image] = begin + size_gb / max(kind.fetch_gb_per_s, 1e-3)
+        machine.remember_image(image, size_gb, kind.cache_gb)
+
+    # -- ticks -----------------------------------------------------------------------------
+
+    def _tick(self) -> None:
+        self.view.tick(self.core.now)
+        self.session.tick()
+        self.leadership.tick()
+        if self._parked:
+            self._unpark()
+        term = self.leadership.term
+        if term is not None:
+            self.keeper.tick(term)
+        for held in self.held.values():
+            held.settle_silent()
+            if held.unproven:
+                held.fence()
+            self.job_keeper.tick(held)
+            if self.session.live():
+                wants = self.fleet.tick(held, term is not None)
+                if wants:
+                    self._wants = wants
+        self.writer.tick()
+        if self.peers.due():
+            counts = self._counts()
+            self.peers.tick(self.fresh_s(), counts, self._wants)
+            self._wants = []
+
+    def _counts(self) -> list[tuple[str, int, int]]:
+        counts = []
+        for held in self.held.values():
+            for job in held.jobs.values():
+                if not job.withdrawn:
+                    entry = (job.done, len(job.runs))
+                    self.desk.counts[job.job] = entry
+                    counts.append((job.job, *entry))
+        return counts
+
+    def _plan(self) -> None:
+        now = self.core.now
+        if now < self._plan_ready_at:
+            return
+        replan = now >= self._replan_at
+        began = self.core.clock()
+        planned = False
+        for held in self.held.values():
+            if not (held.dirty or replan) or not self.view.ready:
+                continue
+            planned = True
+            held.dirty = False
+            held.booked = {}
+            plan = plan_block(held, self.core, self.registry, self.desk.teams)
+            for booking in plan.starts:
+                held.booked.setdefault(booking.host, []).append(booking)
+        if planned:
+            took = self.core.clock() - began
+            self._plan_ready_at = now + took * PLAN_SHARE
+            self._replan_at = now + REPLAN_REPORTS * self.core.report_s
--- /dev/null
+++ b/fallpulley/core.py
@@ -0,0 +1,53 @@
+"""What all slices of one controller share: its settings, clock, effects and derived times."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from fallpulley.effects import Answer, Call, Done, Effect
+from fallpulley.settings import Settings
+from fallpulley.state.lane import Lane
+
+# Steady clocks drift apart by up to 0.05%; twice that covers two clocks running apart.
+DRIFT = 1.001
+
+
+class Core:
+    def __init__(self, settings: Settings, boot: str, clock: Callable[[], float]) -> None:
+        self.settings = settings
+        self.label = settings.label
+        self.boot = boot
+        self.clock = clock
+        self.now = 0.0
+        self.wall = 0.0
+        self.effects: list[Effect] = []
+        facts = settings.facts
+        nodes = max(facts.nodes, 1)
+        self.lane = Lane(
+            settings.endpoints.state,
+            facts.state.rps / nodes,
+            facts.state.write_rps / nodes,
+            facts.state.txn_ops,
+            self.effects.append,
+        )
+        workers = facts.workers
+        self.report_s = workers.report_s
+        self.lease_s = workers.lease_s
+        # Slack for answers under way, slow steps and the clocks' drift.
+        self.slack_s = 0.1 * workers.cancel_s
+        # W: how long a holder that cannot reach the state service goes on serving its block.
+        self.window_s = workers.cancel_s - workers.lease_s - self.slack_s
+        # A controller's session ends this long after its last renewal.
+        self.session_s = settings.operators.session_share * workers.lease_s
+        # A worker's lease is certainly over this long after the last answer to it.
+        self.lease_over_s = workers.lease_s * DRIFT + 0.25 * workers.report_s
+
+    def answer(
+        self, ticket: object, status: int, body: bytes = b"", retry_after: float | None = None
+    ) -> None:
+        self.effects.append(Answer(ticket, status, body, retry_after))
+
+    def call(
+        self, address: str, method: str, path: str, body: bytes | None, timeout_s: float, done: Done
+    ) -> None:
+        self.effects.append(Call(address, method, path, body, timeout_s, done))
--- /dev/null
+++ b/fallpulley/effects.py
@@ -0,0 +1,62 @@
+"""What the owner of the state is told (commands) and what it asks for (effects).
+
+Network tasks post commands and carry out effects; only the owner decides.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+# How a finished call comes back: status (None: no answer, outcome unknown), body, sent at.
+Done = Callable[[int | None, bytes, float], None]
+
+
+class Request(msgspec.Struct):
+    """A request that reached this controller; `ticket` takes its answer."""
+
+    ticket: Any
+    method: str
+    path: str
+    body: bytes
+
+
+class Result(msgspec.Struct):
+    """The outcome of a `Call`."""
+
+    done: Done
+    status: int | None
+    body: bytes
+    sent_at: float
+
+
+class PeerMessage(msgspec.Struct):
+    """A message of another controller, still encoded."""
+
+    body: bytes
+
+
+Command = Request | Result | PeerMessage
+
+
+class Answer(msgspec.Struct):
+    ticket: Any
+    status: int
+    body: bytes = b""
+    retry_after: float | None = None
+
+
+class Call(msgspec.Struct):
+    """An HTTP request to the state service, the cloud, a worker or a peer."""
+
+    address: str
+    method: str
+    path: str
+    body: bytes | None
+    timeout_s: float
+    done: Done
+
+
+Effect = Answer | Call
--- /dev/null
+++ b/fallpulley/fleet/desk.py
@@ -0,0 +1,140 @@
+"""The holder's side of the fleet: what its block should rent, and which machines go back."""
+
+from __future__ import annotations
+
+import logging
+
+from fallpulley.blocks.held import FAULTY_JOBS, HeldBlock
+from fallpulley.blocks.registry import Registry
+from fallpulley.blocks.writer import BlockWriter
+from fallpulley.core import Core
+from fallpulley.fleet.keeper import FleetKeeper
+from fallpulley.fleet.sizing import Sizing, Supply, size_fleet
+from fallpulley.mesh.messages import Want
+from fallpulley.placement.queue import groups_of
+from fallpulley.workers.machine import Machine
+
+log = logging.getLogger(__name__)
+
+SIZING_S = 1.0  # between two looks at the fleet: far below any boot time
+# A machine that is not up after so many boot times is not counted on; after twice as many
+# it goes back. Some take several times as long, a few never come.
+LATE_BOOTS = 2.0
+NEVER_BOOTS = 4.0
+# A machine that was silent for so many leases goes back: most likely it is no more.
+SILENT_LEASES = 2.5
+
+
+class FleetDesk:
+    def __init__(
+        self, core: Core, registry: Registry, writer: BlockWriter, keeper: FleetKeeper
+    ) -> None:
+        self.core = core
+        self.registry = registry
+        self.writer = writer
+        self.keeper = keeper
+        self._next: dict[str, float] = {}
+
+    def tick(self, held: HeldBlock, leading: bool) -> list[Want]:
+        """Give up what should go, rent as the leader, or say what the leader should rent."""
+        now = self.core.now
+        if now < self._next.get(held.label, float("-inf")) or not self.registry.types:
+            return []
+        self._next[held.label] = now + SIZING_S
+        self._look_over(held)
+        if not held.loaded:
+            return []
+        sizing = self._size(held)
+        for host in sizing.returns:
+            self._give_up(held, held.machines[host], "idle")
+        if leading:
+            for rent in sizing.rents:
+                self.keeper.hire(held.label, rent.build, rent.zone, rent.spot, rent.number)
+            return []
+        return [Want(held.label, r.build, r.zone, r.spot, r.number) for r in sizing.rents]
+
+    def _size(self, held: HeldBlock) -> Sizing:
+        now = self.core.now
+        types = self.keeper.types or self.registry.types
+        supply = []
+        for machine in held.machines.values():
+            if machine.leaving or machine.gone or machine.recall_at is not None:
+                continue
+            kind = types.get(machine.entry.build)
+            if kind is None or (machine.ever_up and not machine.up):
+                continue
+            if not machine.ever_up and now - machine.got_at > LATE_BOOTS * kind.startup_s:
+                continue
+            idle = None
+            if machine.usable and machine.empty and machine.idle_since is not None:
+                idle = now - machine.idle_since
+            supply.append(
+                Supply(
+                    machine.host,
+                    kind.label,
+                    machine.entry.zone,
+                    machine.entry.spot,
+                    kind.cpus,
+                    idle,
+                )
+            )
+        coming = self.keeper.pending_for(held.label)
+        for hire in coming:
+            kind = types.get(hire.build)
+            if kind is not None:
+                supply += [
+                    Supply(f"{hire.hire}/{n}", hire.build, hire.hall, hire.loaners, kind.cpus, None)
+                    for n in range(hire.number)
+                ]
+        # Granted, but not in the record yet.
+        for host, entry in self.writer.adding.get(held.label, {}).items():
+            kind = types.get(entry.build)
+            if kind is not None and host not in held.machines:
+                supply.append(Supply(host, entry.build, entry.zone, entry.spot, kind.cpus, None))
+        operators = self.core.settings.operators
+        most = operators.machines_max or 10**6
+        return size_fleet(
+            groups_of(held, types, now),
+            supply,
+            types,
+            self.keeper.refused(),
+            operators.drain_boots,
+            operators.idle_boots,
+            most - len(supply),
+        )
+
+    def _look_over(self, held: HeldBlock) -> None:
+        """Machines that never came, went silent, stopped or are faulty go back."""
+        now = self.core.now
+        for machine in held.machines.values():
+            if machine.leaving:
+                continue
+            kind = self.registry.types.get(machine.entry.build)
+            startup = kind.startup_s if kind else 60.0
+            listed = self.keeper.listed.get(machine.host)
+            if listed is not None and listed.stage == "failed":
+                machine.gone = True
+            if machine.host in held.unproven:
+                continue
+            if not machine.up and not machine.runs:
+                since = max(machine.heard_at, machine.got_at)
+                if machine.gone:
+                    self._give_up(held, machine, "failed")
+                elif machine.ever_up:
+                    if now - since > SILENT_LEASES * self.core.lease_s:
+                        self._give_up(held, machine, "silent")
+                elif now - since > max(NEVER_BOOTS * startup, 2 * self.core.lease_s):
+                    self._give_up(held, machine, "never up")
+            elif (
+                len(machine.failed_jobs) >= FAULTY_JOBS
+                and machine.completed < 4 * len(machine.failed_jobs)
+                and not machine.runs
+            ):
+                self._give_up(held, machine, "faulty")
+
+    def _give_up(self, held: HeldBlock, machine: Machine, why: str) -> None:
+        """From here nothing is placed on it, whatever becomes of the write."""
+        log.info("machine given up machine=%s why=%s block=%s", machine.host, why, held.label)
+        machine.leaving = True
+        held.dirty = True
+        self.writer.remove(held.label, machine.host)
--- /dev/null
+++ b/fallpulley/fleet/keeper.py
@@ -0,0 +1,304 @@
+"""The leader's dealings with the cloud: types, lists, renting, releasing, adopting."""
+
+from __future__ import annotations
+
+import logging
+from typing import TypeVar
+
+import msgspec
+
+from fallpulley.blocks.messages import MachineEntry
+from fallpulley.blocks.registry import CATALOG, RETIRED, Registry
+from fallpulley.blocks.writer import BlockWriter
+from fallpulley.core import Core
+from fallpulley.effects import Done
+from fallpulley.fleet.messages import (
+    Catalog,
+    Hire,
+    Hired,
+    Listed,
+    MachineList,
+    MachineType,
+    Release,
+)
+from fallpulley.state.lane import Bucket, Change, Order, Write
+from fallpulley.state.view import View
+
+log = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+CALL_S = 3.0
+PRICES_S = 20.0  # prices move slowly; the types do not
+LIST_PAGE = 500
+RELEASE_MOST = 100
+HIRE_MOST = 50
+# After a refusal the same kind is asked again after this share of its boot time, doubling.
+REFUSAL_SHARE = 0.25
+REFUSAL_MOST = 2.0
+
+
+class FleetKeeper:
+    def __init__(self, core: Core, view: View, registry: Registry, writer: BlockWriter) -> None:
+        self.core = core
+        self.view = view
+        self.registry = registry
+        self.writer = writer
+        self.bucket = Bucket(core.settings.facts.cloud.rps * 0.9)
+        self.types: dict[str, MachineType] = {}
+        self.listed: dict[str, Listed] = {}
+        self.listed_at = float("-inf")
+        self.released: dict[str, float] = {}
+        self.refused_until: dict[tuple[str, str, bool], tuple[float, float]] = {}
+        self.pending: dict[str, tuple[Hire, str]] = {}  # hires without an answer yet
+        self._counter = 0
+        self._term = 0
+        self._next_catalog = float("-inf")
+        self._next_list = float("-inf")
+        self._listing: dict[str, Listed] | None = None
+        self._releasing: set[str] = set()
+        self._next_release = float("-inf")
+        self._dropping: set[str] = set()
+        self._hiring: set[str] = set()
+        self._retry_at: dict[str, float] = {}
+
+    def tick(self, term: int) -> None:
+        """`term`: the stamp of our leadership; only called while it certainly lasts."""
+        now = self.core.now
+        if term != self._term:
+            # Requests of an earlier term keep their names; a new term never uses them.
+            self._term = term
+            self._counter = 0
+            self.pending.clear()
+        self.bucket.refill(now)
+        if now >= self._next_catalog:
+            self._fetch_catalog()
+        if now >= self._next_list and self._listing is None:
+            self._next_list = now + max(1.5, 0.5 * self.core.settings.facts.cloud.list_lag_s)
+            self._listing = {}
+            self._list("")
+        self._release()
+        for name in list(self.pending):
+            if name not in self._hiring and now >= self._retry_at.get(name, 0.0):
+                self._send_hire(name)
+
+    def _call(self, method: str, path: str, body: bytes | None, done: Done) -> bool:
+        if self.bucket.tokens < 1:
+            return False
+        self.bucket.tokens -= 1
+        self.core.call(self.core.settings.endpoints.cloud, method, path, body, CALL_S, done)
+        return True
+
+    # -- types -----------------------------------------------------------------------------
+
+    def _fetch_catalog(self) -> None:
+        def done(status: int | None, body: bytes, sent_at: float) -> None:
+            catalog = _decode(body, Catalog) if status == 200 else None
+            if catalog is None:
+                self._next_catalog = self.core.now + 1.0
+                return
+            self.types = {kind.label: kind for kind in catalog.builds}
+            if _fixed(self.types) != _fixed(self.registry.types):
+                value = msgspec.json.encode(catalog)
+                self.core.lane.write(
+                    Write(
+                        {CATALOG: self.view.stamp(CATALOG)},
+                        [Change(CATALOG, value)],
+                        lambda status, ledger: None,
+                        Order.PROGRESS,
+                    )
+                )
+
+        if self._call("GET", "/catalog", None, done):
+            self._next_catalog = self.core.now + PRICES_S
+
+    # -- the list --------------------------------------------------------------------------
+
+    def _list(self, after: str) -> None:
+        def done(status: int | None, body: bytes, sent_at: float) -> None:
+            page = _decode(body, MachineList) if status == 200 else None
+            if page is None or self._listing is None:
+                self._listing = None
+                return
+            for machine in page.hosts:
+                self._listing[machine.uid] = machine
+            if page.has_next and page.hosts:
+                self._list(page.hosts[-1].uid)
+                return
+            self.listed, self._listing = self._listing, None
+            self.listed_at = self.core.now
+            self._adopt()
+
+        path = f"/rentals?page={LIST_PAGE}" + (f"&after={after}" if after else "")
+        if not self._call("GET", path, None, done):
+            self._listing = None
+
+    def _adopt(self) -> None:
+        """Machines that no record knows: use them, or return them when they have failed."""
+        now = self.core.now
+        lag = 2 * self.core.settings.facts.cloud.list_lag_s + 2.0
+        for host, machine in self.listed.items():
+            if host in self.registry.host_block or host in self.registry.retired:
+                continue
+            if self.writer.coming(host) or host in self._releasing:
+                continue
+            if host in self.released:
+                # Released and listed again after the list's lag: the release got lost.
+                if now > self.released[host] + lag:
+                    self._unrecorded(host)
+                continue
+            if machine.stage == "failed":
+                self._unrecorded(host)
+            elif not self.pending:
+                self.adopt(host, machine.addr, machine.build, machine.hall, machine.loaners)
+
+    def adopt(self, host: str, addr: str, build: str, zone: str, spot: bool) -> bool:
+        """Grant a machine found in a list or by its report to a block."""
+        if host in self.released or host in self.registry.retired:
+            return False
+        block = self.block_for_grant()
+        if block is None:
+            return False
+        log.info("machine adopted machine=%s build=%s block=%s", host, build, block)
+        self.writer.add(block, host, MachineEntry(addr, build, zone, spot))
+        return True
+
+    def block_for_grant(self) -> str | None:
+        """The block with the fewest machines."""
+        blocks = self.registry.blocks
+        if not blocks:
+            return None
+        return min(blocks, key=lambda label: (len(blocks[label][0].machines), label))
+
+    # -- releasing -------------------------------------------------------------------------
+
+    def _unrecorded(self, host: str) -> None:
+        self.released.pop(host, None)
+        self._releasing.add(host)
+
+    def _release(self) -> None:
+        now = self.core.now
+        hosts = [h for h in self.registry.retired if h not in self._dropping]
+        hosts += [h for h in self._releasing if h not in self.registry.retired]
+        if not hosts or now < self._next_release:
+            return
+        hosts = hosts[:RELEASE_MOST]
+
+        def done(status: int | None, body: bytes, sent_at: float) -> None:
+            if status != 200:
+                self._next_release = self.core.now + 0.5
+                return
+            self._next_release = float("-inf")
+            for host in hosts:
+                self.released[host] = self.core.now
+                self._releasing.discard(host)
+                if host in self.registry.retired:
+                    self._drop_retired(host)
+            log.info("machines released n=%d first=%s", len(hosts), hosts[0])
+
+        body = msgspec.json.encode(Release(hosts))
+        if self._call("POST", "/rentals/release", body, done):
+            self._next_release = now + CALL_S + 0.5
+
+    def _drop_retired(self, host: str) -> None:
+        self._dropping.add(host)
+        key = RETIRED + host
+
+        def written(status: int | None, ledger: int) -> None:
+            self._dropping.discard(host)
+
+        self.core.lane.write(
+            Write({key: self.view.stamp(key)}, [Change(key, None)], written, Order.PROGRESS)
+        )
+
+    # -- renting ---------------------------------------------------------------------------
+
+    def refused(self) -> set[tuple[str, str, bool]]:
+        now = self.core.now
+        return {kind for kind, (until, _) in self.refused_until.items() if until > now}
+
+    def pending_for(self, block: str) -> list[Hire]:
+        return [hire for hire, label in self.pending.values() if label == block]
+
+    def hire(self, block: str, build: str, zone: str, spot: bool, number: int) -> None:
+        """One request of a kind for a block at a time."""
+        if (build, zone, spot) in self.refused():
+            return
+        for hire in self.pending_for(block):
+            if (hire.build, hire.hall, hire.loaners) == (build, zone, spot):
+                return
+        self._counter += 1
+        # The term is the leader record's stamp, so no other leader, nor we in another term or
+        # process, can make this name again.
+        name = f"hire-{self._term}-{self._counter}"
+        request = Hire(name, build, zone, spot, min(number, HIRE_MOST))
+        self.pending[name] = (request, block)
+        self._send_hire(name)
+
+    def _send_hire(self, name: str) -> None:
+        request, block = self.pending[name]
+
+        def done(status: int | None, body: bytes, sent_at: float) -> None:
+            self._hiring.discard(name)
+            self._retry_at[name] = self.core.now + 1.0
+            if name not in self.pending:
+                self._late_hire(status, body, request, block)
+                return
+            kind = (request.build, request.hall, request.loaners)
+            if status == 200:
+                del self.pending[name]
+                hired = _decode(body, Hired) or Hired()
+                self._grant(hired.hosts, request, block)
+                if len(hired.hosts) < request.number:
+                    self._back_off(kind)
+                else:
+                    self.refused_until.pop(kind, None)
+            elif status == 400 or (status == 503 and b"no capacity" in body):
+                del self.pending[name]
+                self._back_off(kind)
+
+        if self._call("POST", "/rentals", msgspec.json.encode(request), done):
+            self._hiring.add(name)
+
+    def _late_hire(self, status: int | None, body: bytes, request: Hire, block: str) -> None:
+        """An answer from before our last change of term: the machines are ours all the same."""
+        if status == 200:
+            hired = _decode(body, Hired) or Hired()
+            self._grant(hired.hosts, request, block)
+
+    def _grant(self, hosts: list[str], request: Hire, block: str) -> None:
+        log.info(
+            "machines rented n=%d of=%d build=%s zone=%s spot=%s block=%s",
+            len(hosts),
+            request.number,
+            request.build,
+            request.hall,
+            request.loaners,
+            block,
+        )
+        for host in hosts:
+            if host not in self.registry.host_block:
+                entry = MachineEntry("", request.build, request.hall, request.loaners)
+                self.writer.add(block, host, entry)
+
+    def _back_off(self, kind: tuple[str, str, bool]) -> None:
+        startup = self.types[kind[0]].startup_s if kind[0] in self.types else 60.0
+        _, last = self.refused_until.get(kind, (0.0, 0.5 * REFUSAL_SHARE * startup))
+        wait_s = min(2 * last, REFUSAL_MOST * startup)
+        self.refused_until[kind] = (self.core.now + wait_s, wait_s)
+        log.info("rental refused build=%s zone=%s spot=%s again_s=%.0f", *kind, wait_s)
+
+
+def _fixed(types: dict[str, MachineType]) -> dict[str, tuple[object, ...]]:
+    """The types without their prices, which move."""
+    return {
+        label: (k.cpus, k.cards, k.mem_gb, k.startup_s, tuple(k.halls), k.cache_gb)
+        for label, k in types.items()
+    }
+
+
+def _decode(body: bytes, shape: type[T]) -> T | None:
+    try:
+        return msgspec.json.decode(body, type=shape)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/fallpulley/jobs/messages.py
@@ -0,0 +1,95 @@
+"""What users send and get, and the durable records of jobs. Wire names end here."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+Amount = Annotated[float, Meta(ge=0, le=1e9)]
+Text = Annotated[str, Meta(min_length=1, max_length=200)]
+
+JOB_ID = re.compile(r"job-[0-9]{1,40}")
+
+PENDING, RUNNING, DONE, WITHDRAWN = "pending", "running", "done", "withdrawn"
+OPEN = "open"
+FINAL = (DONE, WITHDRAWN)
+
+RANKS = {"best_effort": 0, "standard": 1, "high": 2, "production": 3}
+
+
+class Submission(msgspec.Struct, frozen=True):
+    """`POST /work`. Fields that may be null may be left out."""
+
+    uid: Text
+    jobclass: Text
+    crew: Text
+    shape: Literal["sweep"]
+    rank: Literal["production", "high", "standard", "best_effort"]
+    pieces: Annotated[int, Meta(ge=1, le=100_000)]
+    cpus: Amount
+    cards: Amount
+    mem_gb: Amount
+    kit: Text
+    size_gb: Amount
+    one_zone: bool
+    apart: bool
+    loaners: bool
+    expect_s: Annotated[float, Meta(gt=0, le=1e9)]
+    bookmark_s: Amount
+    stow_s: Amount
+    builds: Annotated[list[Text], Meta(max_length=64)] | None = None
+    hall: Text | None = None
+    due_s: Amount | None = None
+
+
+class JobRecord(msgspec.Struct, omit_defaults=True):
+    """`live/job/<id>`: written at acceptance, once more when the job ends, never dropped.
+
+    The specification goes when the job is over: nothing needs it any more.
+    """
+
+    block: str
+    at_ms: int
+    pieces: int
+    stage: str = OPEN
+    spec: Submission | None = None
+
+
+class Progress(msgspec.Struct):
+    """`prog/<id>/<chunk>`: a bitmap of completed tasks, in base64."""
+
+    bits: str
+
+
+class Stage(msgspec.Struct, omit_defaults=True):
+    """The answer about a job."""
+
+    uid: str
+    stage: str
+    done: int | None = None
+    running: int | None = None
+
+
+def parse_submission(body: bytes) -> Submission | None:
+    """The submission, or None for anything malformed."""
+    try:
+        found = msgspec.json.decode(body, type=Submission)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+    if not JOB_ID.fullmatch(found.uid) or (found.builds is not None and not found.builds):
+        return None
+    return found
+
+
+def piece_name(job: str, index: int) -> str:
+    return f"{job}/{index}"
+
+
+def split_piece(piece: str) -> tuple[str, int] | None:
+    job, slash, index = piece.rpartition("/")
+    if not slash or not index.isdigit() or not JOB_ID.fullmatch(job):
+        return None
+    return job, int(index)
--- /dev/null
+++ b/fallpulley/jobs/open.py
@@ -0,0 +1,133 @@
+"""An unfinished job as its block's holder knows it."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from collections import deque
+
+from fallpulley.jobs.messages import JobRecord, Submission
+from fallpulley.workers.machine import Run
+
+# Of a value's room, the share a chunk of completion bits may take after base64.
+CHUNK_SHARE = 0.6
+# A job that fails on several machines waits longer each time, up to so many lease lengths.
+PAUSE_MOST = 6.0
+
+
+def chunk_tasks(value_kb: float) -> int:
+    """How many tasks' completion bits one progress value holds."""
+    return max(8, int(value_kb * 1024 * CHUNK_SHARE * 6) // 8 * 8)
+
+
+class OpenJob:
+    def __init__(self, job: str, record: JobRecord, spec: Submission, stamp: int) -> None:
+        self.job = job
+        self.record = record
+        self.spec = spec
+        self.stamp = stamp
+        self.need = (spec.cpus, spec.cards, spec.mem_gb)
+        self.bits = bytearray((spec.pieces + 7) // 8)
+        self.done = 0
+        self.durable = bytearray(len(self.bits))
+        self.durable_done = 0
+        self.runs: dict[int, Run] = {}
+        self.queue: deque[int] = deque(range(spec.pieces))
+        self.withdrawn = False
+        self.ending = False  # the final record is being written
+        self.observed = 0
+        self.observed_s = 0.0
+        self.failed_on: set[str] = set()
+        self.fails = 0
+        self.retry_at = float("-inf")
+        self.saved_at = float("-inf")  # when progress was last written
+        self.saving = False
+        self.unsaved_since: float | None = None
+        self.ledger: dict[int, int] = {}  # progress chunk -> stamp
+        self.remaining_s = float("inf")
+        self.remaining_key: tuple[object, ...] = ()
+
+    def is_done(self, index: int) -> bool:
+        return bool(self.bits[index >> 3] & (1 << (index & 7)))
+
+    def is_durable(self, index: int) -> bool:
+        return bool(self.durable[index >> 3] & (1 << (index & 7)))
+
+    def mark_done(self, index: int, now: float) -> bool:
+        if not 0 <= index < self.spec.pieces or self.is_done(index):
+            return False
+        self.bits[index >> 3] |= 1 << (index & 7)
+        self.done += 1
+        if self.unsaved_since is None:
+            self.unsaved_since = now
+        return True
+
+    @property
+    def finished(self) -> bool:
+        return self.done >= self.spec.pieces
+
+    def waiting(self, most: int) -> list[int]:
+        """The first tasks that are neither done nor on a machine."""
+        found: list[int] = []
+        stale = 0
+        for index in self.queue:
+            if index in self.runs or self.is_done(index):
+                stale += 1
+                continue
+            found.append(index)
+            if len(found) >= most:
+                break
+        if stale > 64:
+            self.queue = deque(i for i in self.queue if i not in self.runs and not self.is_done(i))
+        return found
+
+    def waiting_count(self) -> int:
+        return max(0, self.spec.pieces - self.done - len(self.runs))
+
+    def put_back(self, index: int) -> None:
+        if not self.is_done(index):
+            self.queue.appendleft(index)
+
+    def failed(self, host: str, now: float, lease_s: float) -> None:
+        """Another machine next; when it fails everywhere, growing pauses."""
+        self.fails += 1
+        self.failed_on.add(host)
+        if len(self.failed_on) > 1:
+            self.retry_at = now + min(PAUSE_MOST * lease_s, 0.25 * lease_s * 2 ** (self.fails - 2))
+
+    # -- progress values -------------------------------------------------------------------
+
+    def dirty_chunks(self, tasks: int) -> list[int]:
+        size = tasks // 8
+        return [
+            at // size
+            for at in range(0, len(self.bits), size)
+            if self.bits[at : at + size] != self.durable[at : at + size]
+        ]
+
+    def chunk(self, number: int, tasks: int) -> bytes:
+        size = tasks // 8
+        return bytes(self.bits[number * size : (number + 1) * size])
+
+    def saved(self, number: int, tasks: int, content: bytes) -> None:
+        size = tasks // 8
+        self.durable[number * size : number * size + len(content)] = content
+        self.durable_done = sum(byte.bit_count() for byte in self.durable)
+
+    def restore(self, number: int, tasks: int, encoded: str, stamp: int, now: float) -> None:
+        """Merge a progress value found in the state service."""
+        try:
+            content = base64.b64decode(encoded, validate=True)
+        except (binascii.Error, ValueError):
+            return
+        at = number * (tasks // 8)
+        for offset, byte in enumerate(content[: max(0, len(self.bits) - at)]):
+            self.bits[at + offset] |= byte
+            self.durable[at + offset] |= byte
+        spare = len(self.bits) * 8 - self.spec.pieces
+        if spare:
+            self.bits[-1] &= 0xFF >> spare
+            self.durable[-1] &= 0xFF >> spare
+        self.done = sum(byte.bit_count() for byte in self.bits)
+        self.durable_done = sum(byte.bit_count() for byte in self.durable)
+        self.ledger[number] = stamp
--- /dev/null
+++ b/fallpulley/mesh/messages.py
@@ -0,0 +1,35 @@
+"""What controllers tell each other: tagged tuples, once in a while, never needed for safety."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Want(msgspec.Struct, array_like=True):
+    """Machines that a block's holder asks the leader for."""
+
+    block: str
+    build: str
+    zone: str
+    spot: bool
+    number: int
+
+
+class Beat(msgspec.Struct, tag="beat", array_like=True):
+    """A sign of life: how fresh the sender's copy is, and its jobs' counts for display."""
+
+    label: str
+    boot: str
+    fresh_s: float
+    counts: list[tuple[str, int, int]]
+    wants: list[Want]
+
+
+Message = Beat
+
+
+def decode(body: bytes) -> Message | None:
+    try:
+        return msgspec.json.decode(body, type=Message)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
--- /dev/null
+++ b/fallpulley/mesh/peers.py
@@ -0,0 +1,58 @@
+"""Beats between controllers: counts for display, wants for the leader, and who sees what."""
+
+from __future__ import annotations
+
+import msgspec
+
+from fallpulley.core import Core
+from fallpulley.mesh.messages import Beat, Want, decode
+
+BEAT_S = 1.0
+# A peer whose last beat is older than this says nothing about the present.
+RECENT_BEATS = 3.5
+# Our copy is behind when it was not refreshed for so many beats while a peer's was.
+BEHIND_BEATS = 3.0
+
+
+class Peers:
+    def __init__(self, core: Core) -> None:
+        self.core = core
+        self.beats: dict[str, tuple[Beat, float]] = {}
+        self.wants: dict[str, tuple[list[Want], float]] = {}
+        self.started_at: float | None = None
+        self._next = float("-inf")
+
+    def tick(self, fresh_s: float, counts: list[tuple[str, int, int]], wants: list[Want]) -> None:
+        now = self.core.now
+        if now < self._next:
+            return
+        self._next = now + BEAT_S
+        body = msgspec.json.encode(
+            Beat(self.core.label, self.core.boot, min(fresh_s, 1e6), counts, wants)
+        )
+        for seed in self.core.settings.seeds:
+            self.core.call(
+                seed.address, "POST", "/beat", body, BEAT_S, lambda status, answer, at: None
+            )
+
+    def due(self) -> bool:
+        return self.core.now >= self._next
+
+    def take(self, body: bytes) -> Beat | None:
+        beat = decode(body)
+        if beat is not None:
+            self.beats[beat.label] = (beat, self.core.now)
+        return beat
+
+    def recent(self, label: str) -> bool:
+        entry = self.beats.get(label)
+        return entry is not None and self.core.now - entry[1] < RECENT_BEATS * BEAT_S
+
+    def left_behind(self, fresh_s: float) -> bool:
+        """Peers reach the state service and we do not."""
+        if fresh_s < BEHIND_BEATS * BEAT_S:
+            return False
+        return any(
+            self.recent(label) and beat.fresh_s < BEHIND_BEATS * BEAT_S
+            for label, (beat, _) in self.beats.items()
+        )
--- /dev/null
+++ b/fallpulley/placement/estimate.py
@@ -0,0 +1,38 @@
+"""Estimates of run times, learned from what tasks took.
+
+Owners' estimates are often wrong by half. Each class of jobs has a correction that starts
+at 1; within a job, tasks that completed say more than either.
+"""
+
+from __future__ import annotations
+
+# Weight of one job's tasks against what the class showed before.
+CLASS_WEIGHT = 0.05
+# The corrected estimate counts as much as this many completed tasks of the job itself.
+PRIOR_TASKS = 2.0
+LEAST, MOST = 0.2, 5.0
+
+
+class Corrections:
+    """A factor per class on the owners' estimates."""
+
+    def __init__(self) -> None:
+        self._factors: dict[str, float] = {}
+
+    def factor(self, jobclass: str) -> float:
+        return self._factors.get(jobclass, 1.0)
+
+    def learn(self, jobclass: str, expected_s: float, took_s: float) -> None:
+        ratio = max(LEAST, min(MOST, took_s / expected_s))
+        factor = self.factor(jobclass)
+        self._factors[jobclass] = factor + CLASS_WEIGHT * (ratio - factor)
+
+
+def run_estimate(corrected_s: float, observed: int, observed_s: float) -> float:
+    """A task's run time from the corrected estimate and the job's completed tasks."""
+    return (corrected_s * PRIOR_TASKS + observed_s) / (PRIOR_TASKS + observed)
+
+
+def left_of(estimate_s: float, ran_s: float) -> float:
+    """What a running task still needs; one past its estimate is taken to need a share more."""
+    return max(estimate_s - ran_s, 0.15 * max(estimate_s, ran_s))
--- /dev/null
+++ b/fallpulley/placement/queue.py
@@ -0,0 +1,206 @@
+"""From a held block to the picture a plan is made of, and to the work the fleet is sized by."""
+
+from __future__ import annotations
+
+import math
+
+from fallpulley.blocks.held import HeldBlock
+from fallpulley.blocks.registry import Registry
+from fallpulley.core import Core
+from fallpulley.fleet.messages import MachineType
+from fallpulley.fleet.sizing import Group
+from fallpulley.jobs.open import OpenJob
+from fallpulley.placement.estimate import left_of
+from fallpulley.placement.plan import (
+    BOOKINGS_MOST,
+    Plan,
+    Slot,
+    Waiting,
+    make_plan,
+    queue_order,
+    remaining_time,
+)
+from fallpulley.settings import Team
+from fallpulley.workers.machine import Machine, size_of
+from fallpulley.workers.messages import ENDED
+
+
+def slots_of(held: HeldBlock, types: dict[str, MachineType], now: float) -> list[Slot]:
+    """The machines that may be given tasks now."""
+    slots = []
+    for machine in held.machines.values():
+        kind = types.get(machine.entry.build)
+        if kind is None or not machine.usable or now < machine.refuse_until:
+            continue
+        if any(
+            piece.stage != ENDED and name not in machine.runs
+            for name, piece in machine.pieces.items()
+        ):
+            continue  # holds something whose size we do not know, until it is stopped
+        slots.append(_slot(held, machine, kind, now))
+    return slots
+
+
+def _slot(held: HeldBlock, machine: Machine, kind: MachineType, now: float) -> Slot:
+    running = []
+    fetch_free = now
+    images = dict.fromkeys(machine.images, 0.0)
+    for image, ready in machine.fetching.items():
+        images[image] = max(ready, now + 0.5)
+        fetch_free = max(fetch_free, images[image])
+    for run in machine.runs.values():
+        job = held.jobs.get(run.job)
+        estimate = held.estimate(job) * machine.slowness if job else run.estimate_s
+        if run.running_at is not None:
+            left = left_of(estimate, now - run.running_at)
+        else:
+            ready = images.get(job.spec.kit, now) if job else now
+            left = estimate + max(0.0, ready - now)
+        if run.stopping is not None and job is not None:
+            left = min(left, job.spec.stow_s + 1.0)
+        running.append((now + left, *run.need))
+    return Slot(
+        machine.host,
+        kind.label,
+        machine.entry.zone,
+        machine.entry.spot,
+        size_of(kind),
+        max(kind.fetch_gb_per_s, 1e-3),
+        machine.slowness,
+        running,
+        images,
+        fetch_free,
+    )
+
+
+def waiting_of(
+    held: HeldBlock, core: Core, teams: dict[str, Team], slots: list[Slot]
+) -> list[Waiting]:
+    """The jobs with tasks to place, in queue order, within their teams' limits."""
+    now, wall_ms = core.now, core.wall * 1000
+    found: list[Waiting] = []
+    for job in held.jobs.values():
+        if job.withdrawn or job.finished or now < job.retry_at or held.doubtful(job):
+            continue
+        team = teams.get(job.spec.crew)
+        if team is not None and team.limited and (held.unproven or not held.loaded):
+            continue  # tasks we cannot see may use up the limit
+        tasks = job.waiting(BOOKINGS_MOST)
+        if not tasks:
+            continue
+        found.append(_waiting(held, core, job, tasks, slots, wall_ms))
+    found.sort(key=queue_order)
+    _keep_limits(found, held, teams)
+    return [job for job in found if job.tasks]
+
+
+def _waiting(
+    held: HeldBlock, core: Core, job: OpenJob, tasks: list[int], slots: list[Slot], wall_ms: float
+) -> Waiting:
+    spec = job.spec
+    estimate = held.estimate(job)
+    left = spec.pieces - job.done
+    key = (left, len(slots), round(estimate, 1))
+    if key != job.remaining_key:
+        job.remaining_key = key
+        job.remaining_s = remaining_time(job.need, estimate, left, slots)
+    waited = (wall_ms - job.record.at_ms) / 1000
+    zone, zone_room = spec.hall, None
+    if spec.one_zone and job.runs:
+        run = next(iter(job.runs.values()))
+        zone = held.machines[run.host].entry.zone
+    if spec.apart:
+        most = math.ceil(spec.pieces / 2)
+        zone_room = {slot.zone: most for slot in slots}
+        for run in job.runs.values():
+            at = held.machines[run.host].entry.zone
+            zone_room[at] = zone_room.get(at, most) - 1
+    return Waiting(
+        job.job,
+        job.need,
+        estimate,
+        tasks,
+        spec.kit,
+        spec.size_gb,
+        job.remaining_s,
+        waited > core.settings.operators.age_bound * estimate,
+        job.record.at_ms / 1000,
+        spec.loaners,
+        spec.builds,
+        zone,
+        zone_room,
+        spec.one_zone,
+        job.failed_on or None,
+    )
+
+
+def _keep_limits(waiting: list[Waiting], held: HeldBlock, teams: dict[str, Team]) -> None:
+    """Cut the tasks of limited teams to what their limits leave, first jobs first."""
+    left: dict[str, list[float]] = {}
+    for entry in waiting:
+        job = held.jobs[entry.job]
+        team = teams.get(job.spec.crew)
+        if team is None or not team.limited:
+            continue
+        if team.name not in left:
+            cpus, cards = held.usage(team.name)
+            left[team.name] = [
+                team.cpus_max - cpus if team.cpus_max > 0 else math.inf,
+                team.gpus_max - cards if team.gpus_max > 0 else math.inf,
+            ]
+        rest = left[team.name]
+        count = len(entry.tasks)
+        for at in (0, 1):
+            if entry.need[at] > 0 and rest[at] < math.inf:
+                count = min(count, max(0, int((rest[at] + 1e-6) / entry.need[at])))
+        entry.tasks = entry.tasks[:count]
+        rest[0] -= count * entry.need[0]
+        rest[1] -= count * entry.need[1]
+
+
+def _cost(job: Waiting, slot: Slot) -> float:
+    """Among equal finishes, ordinary machines are left to jobs that need them."""
+    return 1.0 if job.spot_ok and not slot.spot else 0.0
+
+
+def plan_block(held: HeldBlock, core: Core, registry: Registry, teams: dict[str, Team]) -> Plan:
+    slots = slots_of(held, registry.types, core.now)
+    waiting = waiting_of(held, core, teams, slots)
+    return make_plan(waiting, slots, core.now, _cost)
+
+
+def groups_of(held: HeldBlock, types: dict[str, MachineType], now: float) -> list[Group]:
+    """Queued and running work by the machines it may use."""
+    groups: dict[tuple[object, ...], Group] = {}
+    for job in held.jobs.values():
+        if job.withdrawn or job.finished:
+            continue
+        spec = job.spec
+        processors = _processors(job, types)
+        estimate = held.estimate(job)
+        work = job.waiting_count() * estimate * processors
+        for run in job.runs.values():
+            ran = now - run.running_at if run.running_at is not None else 0.0
+            work += left_of(estimate, ran) * processors
+        builds = tuple(sorted(spec.builds)) if spec.builds is not None else None
+        key = (spec.loaners, builds, spec.hall)
+        group = groups.setdefault(key, Group(spec.loaners, builds, spec.hall, 0.0, 0.0))
+        group.work += work
+        group.widest = max(group.widest, processors)
+    return list(groups.values())
+
+
+def _processors(job: OpenJob, types: dict[str, MachineType]) -> float:
+    """A task's share of the cheapest machine that fits it, in processors."""
+    best: tuple[float, float] | None = None
+    for kind in types.values():
+        if job.spec.builds is not None and kind.label not in job.spec.builds:
+            continue
+        size = size_of(kind)
+        if any(n > s for n, s in zip(job.need, size, strict=True)):
+            continue
+        share = max(n / s for n, s in zip(job.need, size, strict=True) if s > 0)
+        entry = (kind.hourly * share, share * kind.cpus)
+        if best is None or entry < best:
+            best = entry
+    return best[1] if best else job.need[0]
--- /dev/null
+++ b/fallpulley/settings.py
@@ -0,0 +1,183 @@
+"""Checked settings: the file the platform hands over, and the operators' own beside it.
+
+Names in the platform's file are its own; unknown fields are ignored. What is missing or
+impossible ends the start with a line that names the field.
+"""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Name = Annotated[str, Meta(min_length=1, max_length=100)]
+
+OPERATORS_FILE = "fallpulley.toml"
+
+
+class SettingsError(Exception):
+    """The settings cannot be used; the message names the field."""
+
+
+class Seed(msgspec.Struct, frozen=True):
+    label: Name
+    site: Name
+    address: Name
+
+
+class Endpoints(msgspec.Struct, frozen=True):
+    cloud: Name
+    state: Name
+
+
+class Team(msgspec.Struct, frozen=True):
+    """Guarantees and limits; a limit of 0 means none."""
+
+    name: Name
+    cpus: NotNegative = 0.0
+    cpus_max: NotNegative = 0.0
+    gpus: NotNegative = 0.0
+    gpus_max: NotNegative = 0.0
+
+    @property
+    def limited(self) -> bool:
+        return self.cpus_max > 0 or self.gpus_max > 0
+
+
+class Objective(msgspec.Struct, frozen=True, rename={"jobclass": "class"}):
+    kind: str
+    jobclass: str = ""
+    within_s: float | None = None
+    share: float | None = None
+    times: float | None = None
+
+
+class Workers(msgspec.Struct, frozen=True):
+    report_s: Positive
+    lease_s: Positive
+    cancel_s: Positive
+
+
+class StateLimits(msgspec.Struct, frozen=True):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, Meta(ge=4)]
+
+
+class CloudLimits(msgspec.Struct, frozen=True):
+    rps: Positive
+    list_lag_s: NotNegative
+
+
+class MachineLimits(msgspec.Struct, frozen=True):
+    core_share: Positive = 1.0
+    memory_mb: Positive = 256.0
+    sockets: Annotated[int, Meta(ge=16)] = 1024
+
+
+class Facts(msgspec.Struct, frozen=True):
+    nodes: Annotated[int, Meta(ge=1)]
+    zones: list[Name]
+    workers: Workers
+    state: StateLimits
+    cloud: CloudLimits
+    skew_ms: NotNegative = 0.0
+    teams: list[Team] = []
+    objectives: list[Objective] = []
+    machine_limits: MachineLimits = MachineLimits()
+
+
+class Operators(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The operators' own settings, all optional. docs/operations.md explains each."""
+
+    # Share of a worker's lease after which a controller that stopped renewing is replaced.
+    session_share: Annotated[float, Meta(ge=0.1, le=1.0)] = 0.25
+    # Queued and running work should drain within this many boot times of a machine.
+    drain_boots: Annotated[float, Meta(gt=0, le=20)] = 0.5
+    # An idle machine goes back after this many boot times.
+    idle_boots: Annotated[float, Meta(ge=0, le=50)] = 0.75
+    # A job that waited this many times its own estimate sorts before all shorter ones.
+    age_bound: Annotated[float, Meta(gt=0)] = 8.0
+    # Machines never rented beyond this number (0: no bound of our own).
+    machines_max: Annotated[int, Meta(ge=0)] = 0
+
+
+class Settings(msgspec.Struct, frozen=True):
+    label: Name
+    site: Name
+    serve_on: Name
+    mesh_addr: Name
+    endpoints: Endpoints
+    facts: Facts
+    seeds: list[Seed] = []
+    operators: Operators = Operators()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """`host:port` as its two parts; raises ValueError when it is neither."""
+    host, colon, port = address.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"not host:port: {address!r}")
+    return host, int(port)
+
+
+def _check(settings: Settings) -> None:
+    named = {
+        "serve_on": settings.serve_on,
+        "mesh_addr": settings.mesh_addr,
+        "endpoints.cloud": settings.endpoints.cloud,
+        "endpoints.state": settings.endpoints.state,
+    }
+    named |= {f"seeds[{i}].address": seed.address for i, seed in enumerate(settings.seeds)}
+    for field, address in named.items():
+        try:
+            split_address(address)
+        except ValueError as error:
+            raise SettingsError(f"{field}: {error}") from None
+    labels = [settings.label] + [seed.label for seed in settings.seeds]
+    for label in labels:
+        if "/" in label or any(c.isspace() for c in label):
+            raise SettingsError(f"label: {label!r} holds a slash or a space")
+    if len(set(labels)) != len(labels):
+        raise SettingsError("seeds: a label stands twice")
+    teams = [team.name for team in settings.facts.teams]
+    if len(set(teams)) != len(teams):
+        raise SettingsError("facts.teams: a name stands twice")
+    workers = settings.facts.workers
+    if workers.report_s >= workers.lease_s:
+        raise SettingsError("facts.workers.report_s: must be below facts.workers.lease_s")
+    if workers.lease_s * 1.2 >= workers.cancel_s:
+        raise SettingsError("facts.workers.cancel_s: leaves no time beyond facts.workers.lease_s")
+
+
+def _read(path: str) -> dict[str, object]:
+    try:
+        with open(path, "rb") as file:
+            return tomllib.load(file)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"{path}: not TOML: {error}") from None
+
+
+def load(path: str) -> Settings:
+    """Read and check both files; the operators' one may be absent."""
+    try:
+        table = _read(path)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    own = os.path.join(os.path.dirname(os.path.abspath(path)), OPERATORS_FILE)
+    try:
+        table["operators"] = _read(own)
+    except OSError:
+        table.pop("operators", None)
+    try:
+        settings = msgspec.convert(table, Settings)
+    except msgspec.ValidationError as error:
+        raise SettingsError(str(error)) from None
+    _check(settings)
+    return settings
--- /dev/null
+++ b/fallpulley/workers/machine.py
@@ -0,0 +1,139 @@
+"""A machine of a held block as its holder knows it, and what a report changes."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import msgspec
+
+from fallpulley.blocks.messages import MachineEntry
+from fallpulley.fleet.messages import MachineType
+from fallpulley.workers.messages import ENDED, PULLING, RUNNING, SAVING, PieceState, Report
+
+
+class Run(msgspec.Struct, eq=False):
+    """An attempt of a task: commanded, perhaps on its machine, not proved gone."""
+
+    job: str
+    index: int
+    attempt: int
+    host: str
+    sent_at: float
+    estimate_s: float  # run time without the fetch
+    need: tuple[float, float, float]
+    seen: bool = False
+    stage: str = PULLING
+    running_at: float | None = None
+    stopping: float | None = None  # the windup to stop it with, once it is to stop
+
+    @property
+    def piece(self) -> str:
+        return f"{self.job}/{self.index}"
+
+
+class Machine:
+    def __init__(self, host: str, entry: MachineEntry, since: int, now: float) -> None:
+        self.host = host
+        self.entry = entry
+        self.since = since  # the token a report must show before the machine is used
+        self.settled = False
+        self.got_at = now
+        self.shift = 0
+        self.tick = -1
+        self.up = False  # reports now, as far as we know
+        self.ever_up = False
+        self.heard_at = float("-inf")
+        self.replied_at = float("-inf")
+        self.recall_at: float | None = None
+        self.pieces: dict[str, PieceState] = {}
+        self.runs: dict[str, Run] = {}
+        self.images: OrderedDict[str, float] = OrderedDict()
+        self.fetching: dict[str, float] = {}
+        self.slowness = 1.0
+        self.failed_jobs: set[str] = set()
+        self.completed = 0
+        self.refuse_until = float("-inf")
+        self.leaving = False  # a record without this machine is being written
+        self.idle_since: float | None = None
+        self.fence_busy = False
+        self.fence_at = float("-inf")
+        self.gone = False  # the cloud says it has stopped
+
+    @property
+    def usable(self) -> bool:
+        return (
+            self.up
+            and self.settled
+            and not self.leaving
+            and not self.gone
+            and self.recall_at is None
+        )
+
+    @property
+    def empty(self) -> bool:
+        return not self.runs and not self.pieces
+
+    def newer(self, report: Report) -> bool:
+        return (report.shift, report.tick) > (self.shift, self.tick)
+
+    def remember_image(self, image: str, size_gb: float, cache_gb: float) -> None:
+        """The machine keeps the most recently used images."""
+        self.images[image] = size_gb
+        self.images.move_to_end(image)
+        total = sum(self.images.values())
+        while total > cache_gb and len(self.images) > 1:
+            _, freed = self.images.popitem(last=False)
+            total -= freed
+
+
+class Outcome(msgspec.Struct):
+    """What a report tells about tasks; the holder's block acts on it."""
+
+    vanished: list[Run] = []
+    ended: list[tuple[Run | None, PieceState]] = []
+    began: list[Run] = []
+    strangers: list[PieceState] = []
+
+
+def absorb(machine: Machine, report: Report, now: float, checkin: bool) -> Outcome:
+    """Take in a newer report. Only a check-in's silence about a run settles that it is not there:
+    an answer of `/do` can overtake a check-in's reply that carries the `run`."""
+    outcome = Outcome([], [], [], [])
+    if report.shift != machine.shift:
+        # A new session: the worker killed and forgot everything it had.
+        outcome.vanished.extend(machine.runs.values())
+        machine.runs.clear()
+        machine.fetching.clear()
+    machine.shift, machine.tick = report.shift, report.tick
+    machine.recall_at = None if report.recall_s is None else now + report.recall_s
+    machine.pieces = {piece.piece: piece for piece in report.pieces}
+    if report.addr and report.addr != machine.entry.addr:
+        machine.entry = MachineEntry(
+            report.addr, machine.entry.build, machine.entry.zone, machine.entry.spot
+        )
+    for piece in report.pieces:
+        run = machine.runs.get(piece.piece)
+        if run is not None and run.attempt != piece.attempt:
+            run = None
+        if piece.stage == ENDED:
+            if run is not None:
+                del machine.runs[piece.piece]
+            outcome.ended.append((run, piece))
+        elif run is None:
+            outcome.strangers.append(piece)
+        else:
+            run.seen = True
+            if piece.stage in (RUNNING, SAVING) and run.running_at is None:
+                run.running_at = now
+                outcome.began.append(run)
+            run.stage = piece.stage
+    if checkin:
+        for name, run in list(machine.runs.items()):
+            if name not in machine.pieces or machine.pieces[name].attempt != run.attempt:
+                del machine.runs[name]
+                outcome.vanished.append(run)
+    return outcome
+
+
+def size_of(kind: MachineType) -> tuple[float, float, float]:
+    return kind.cpus, kind.cards, kind.mem_gb
