--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,297 @@
+"""Stories of whole days in small: controllers, workers and the state service in memory."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from tests.world import LABELS, World, job
+
+
+def ready(machines: int = 2, **facts: object) -> World:
+    world = World(machines, **facts)
+    world.until(lambda: any(k.startswith("live/block/") for k in world.state.data), 5.0)
+    world.run(3.0)
+    return world
+
+
+def submit(world: World, uid: int, label: str = "node-0", **over: object) -> str:
+    spec = job(uid, **over)
+    status, _, _ = world.get(label, "POST", "/work", spec)
+    assert status == 201
+    return str(spec["uid"])
+
+
+def others(label: str) -> list[str]:
+    return [other for other in LABELS if other != label]
+
+
+def test_a_job_runs_and_every_node_says_so() -> None:
+    world = ready()
+    uid = submit(world, 1)
+    world.until(lambda: world.stage(uid) == "done", 40.0)
+    for label in LABELS:
+        status, body, _ = world.get(label, "GET", f"/work/{uid}")
+        assert (status, body["stage"], body["done"]) == (200, "done", 4)
+    # A retry long after the end gets the current state, a stranger's id is unknown.
+    assert world.get("node-2", "POST", "/work", job(1))[:2][0] == 200
+    assert world.get("node-1", "GET", "/work/job-999999")[0] == 404
+    assert world.get("node-1", "GET", "/work/nonsense")[0] == 404
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        (b"{", 400),
+        (b"[]", 400),
+        (b'"\xff"', 400),
+        (json.dumps(job(1) | {"pieces": 0}).encode(), 400),
+        (json.dumps(job(1) | {"pieces": 2.5}).encode(), 400),
+        (json.dumps(job(1) | {"cpus": 1e999}).encode(), 400),
+        (json.dumps(job(1) | {"cpus": "4"}).encode(), 400),
+        (json.dumps(job(1) | {"uid": "task-1"}).encode(), 400),
+        (json.dumps({k: v for k, v in job(1).items() if k != "kit"}).encode(), 400),
+        (json.dumps(job(1) | {"crew": "nobody"}).encode(), 422),
+        (json.dumps(job(1) | {"cpus": 9.0}).encode(), 422),
+        (json.dumps(job(1) | {"builds": ["ship"]}).encode(), 422),
+        (json.dumps(job(1) | {"hall": "z"}).encode(), 422),
+    ],
+)
+def test_bad_submissions_are_told_apart(body: bytes, status: int) -> None:
+    world = ready()
+    assert world.get("node-1", "POST", "/work", body)[0] == status
+
+
+def test_a_team_needing_more_than_its_limit_is_refused_and_the_limit_holds() -> None:
+    world = ready(4)
+    assert world.get("node-0", "POST", "/work", job(1, crew="small", cpus=8.5))[0] == 422
+    submit(world, 2, crew="small", pieces=6)
+    submit(world, 3, "node-1", crew="small", pieces=6)
+    most = 0
+    for _ in range(400):
+        world.step()
+        most = max(most, len(world.running("job-")))
+    assert most == 2  # two tasks of 4 processors use all of the team's 8
+
+
+def test_nothing_is_accepted_while_the_state_service_is_out_and_up_stays_200() -> None:
+    world = ready()
+    uid = submit(world, 1)
+    world.state.down = True
+    world.run(5.0)
+    status, _, retry = world.get("node-0", "POST", "/work", job(2))
+    assert (status, retry) == (503, 1.0)
+    assert world.get("node-1", "GET", f"/work/{uid}")[0] == 503
+    assert all(world.get(label, "GET", "/up")[0] == 200 for label in LABELS)
+    world.state.down = False
+    world.until(lambda: world.stage(uid) == "done", 40.0)
+
+
+def test_a_node_cut_from_the_state_service_alone_is_not_up_and_claims_nothing() -> None:
+    world = ready()
+    uid = submit(world, 1)
+    lone = others(world.holder())[0]
+    world.cut.add((lone, "state"))
+    world.run(6.0)
+    assert world.get(lone, "GET", "/up")[0] == 503
+    assert world.get(others(lone)[0], "GET", "/up")[0] == 200
+    assert world.get(lone, "POST", "/work", job(2))[0] == 503
+    assert world.get(lone, "GET", f"/work/{uid}")[0] in (200, 503)
+
+
+def test_a_new_holder_adopts_what_runs_and_starts_nothing_twice() -> None:
+    world = ready()
+    uid = submit(world, 1, pieces=8)
+    world.times[uid] = 12.0
+    world.until(lambda: len(world.running(uid)) == 4, 20.0)
+    world.crash(world.holder())
+    world.until(lambda: world.stage(uid) == "done", 120.0)
+    # The rules are watched by the world; and no task ran again that had run to its end.
+    pieces = [piece for _, piece, _ in world.starts_seen]
+    assert len(pieces) == len(set(pieces))
+
+
+def test_a_machine_heard_by_the_new_holder_in_the_same_batch_is_not_silent() -> None:
+    """Its tasks, just adopted, were once taken for gone before the reply went out."""
+    world = ready()
+    uid = submit(world, 1, pieces=4)
+    world.times[uid] = 30.0
+    world.until(lambda: len(world.running(uid)) == 4, 20.0)
+    started = len(world.starts_seen)
+    old = world.holder()
+    world.crash(old)
+    world.until(lambda: world.holder() != old, 10.0)
+    world.run(15.0)
+    assert len(world.starts_seen) == started
+
+
+def test_tasks_of_a_hung_machine_wait_until_its_lease_is_over_even_across_a_takeover() -> None:
+    world = ready(2)
+    world.capacity = 2
+    uid = submit(world, 1, pieces=4)
+    world.times[uid] = 30.0
+    world.until(lambda: len(world.running(uid)) == 4, 20.0)
+    hung = next(iter(world.workers.values()))
+    hung.hung = True
+    world.crash(world.holder())
+    world.run(12.0)
+    hung.hung = False  # within what the new holder can prove: the world watches for doubles
+    world.until(lambda: world.stage(uid) == "done", 200.0)
+
+
+def test_a_holder_cut_off_from_the_state_service_is_fenced() -> None:
+    world = ready()
+    uid = submit(world, 1, pieces=8)
+    world.times[uid] = 10.0
+    world.until(lambda: len(world.running(uid)) == 4, 20.0)
+    old = world.holder()
+    world.cut.add((old, "state"))
+    world.until(lambda: world.holder() != old, 10.0)
+    world.until(lambda: world.stage(uid) == "done", 90.0)
+
+
+def test_a_cancel_reaches_tasks_whose_holder_is_cut_off_with_its_machine() -> None:
+    world = ready(2)
+    world.capacity = 2
+    uid = submit(world, 1, pieces=4)
+    world.times[uid] = 500.0
+    world.until(lambda: len(world.running(uid)) == 4, 20.0)
+    old = world.holder()
+    world.cut.add((old, "state"))
+    # One machine hears its old holder only, and the cloud takes it from nobody: it must be
+    # empty because the holder stops answering when its window ends.
+    world.cloud_down = True
+    lone = next(iter(world.workers.values()))
+    for other in others(old):
+        world.cut.add((lone.host, other))
+    world.run(1.0)
+    status, body, _ = world.get(others(old)[0], "POST", f"/work/{uid}/abort")
+    assert (status, body["stage"]) == (200, "withdrawn")
+    world.run(40.0)  # the world ends the test if a task outlives cancel_s
+    assert not world.running(uid)
+
+
+def test_a_cancel_meets_a_start_in_flight() -> None:
+    world = ready()
+    uid = submit(world, 1)
+    found = world.ask("node-1", "POST", f"/work/{uid}/abort")
+    world.run(12.0)
+    assert found[0] == 200
+    assert not world.running(uid)
+    assert world.get("node-2", "GET", f"/work/{uid}")[1]["stage"] == "withdrawn"
+    # Asked again, at any node, the answer stays.
+    assert world.get("node-0", "POST", f"/work/{uid}/abort")[1]["stage"] == "withdrawn"
+
+
+def test_no_older_answer_after_a_change_seen_elsewhere() -> None:
+    world = ready()
+    uid = submit(world, 1, "node-0")
+    # Right after the acceptance, before any watch has brought it, the others know the job.
+    assert world.get("node-2", "GET", f"/work/{uid}")[0] == 200
+    world.get("node-1", "POST", f"/work/{uid}/abort")
+    assert world.get("node-2", "GET", f"/work/{uid}")[1]["stage"] == "withdrawn"
+
+
+def test_an_accepted_job_survives_the_loss_of_all_controllers() -> None:
+    world = ready()
+    uid = submit(world, 1, pieces=8)
+    world.run(2.0)
+    world.crash(*LABELS)
+    world.run(5.0)
+    for label in LABELS:
+        world.boot(label)
+    world.until(lambda: world.stage(uid) == "done", 120.0)
+    assert world.get("node-1", "GET", f"/work/{uid}")[1]["stage"] == "done"
+
+
+def test_controllers_restarted_one_after_the_other_lose_nothing() -> None:
+    world = ready()
+    uids = [submit(world, n, pieces=6) for n in range(4)]
+    for label in LABELS:
+        world.crash(label)
+        world.run(0.2)  # back before its old session has ended
+        world.boot(label)
+        world.run(6.0)
+    for uid in uids:
+        world.until(lambda uid=uid: world.stage(uid) == "done", 120.0)
+
+
+def test_a_late_write_of_an_old_holder_changes_nothing() -> None:
+    world = ready()
+    uid = submit(world, 1)
+    key = f"live/job/{uid}"
+    record, stamp, _ = world.state.data[key]
+    world.get("node-1", "POST", f"/work/{uid}/abort")
+    late = {"if": [{"k": key, "stamp": stamp}], "then": [{"set": key, "v": record}]}
+    assert world.state.txn(late)[0] == 409
+    assert world.get("node-2", "GET", f"/work/{uid}")[1]["stage"] == "withdrawn"
+
+
+def test_request_names_are_never_used_for_two_rentals() -> None:
+    world = ready(1)
+    world.capacity = 3
+    for n in range(6):
+        submit(world, n, pieces=8, expect_s=20.0)
+    world.run(4.0)
+    first = set(world.hires)
+    assert first
+    for _ in range(3):
+        world.crash(*LABELS)
+        world.run(1.0)
+        for label in LABELS:
+            world.boot(label)
+        world.capacity += 1
+        world.run(12.0)
+    names = list(world.hires)
+    assert len(names) > len(first)
+    hosts = [host for hired in world.hires.values() for host in hired]
+    assert len(hosts) == len(set(hosts))
+
+
+def test_idle_machines_go_back_and_machines_nobody_knows_are_adopted() -> None:
+    world = ready(2)
+    stray = world.machine("a", spot=True)
+    world.run(4.0)
+    blocks = [v for k, (v, _, _) in world.state.data.items() if k.startswith("live/block/")]
+    assert stray in blocks[0]["machines"] or stray in world.released
+    world.run(20.0)
+    assert stray in world.released
+
+
+def test_a_job_that_fails_everywhere_pauses_and_a_machine_that_fails_many_goes_back() -> None:
+    world = ready(2)
+    world.capacity = 2
+    bad = next(iter(world.workers))
+    world.errors[bad] = "error"
+    uids = [submit(world, n, pieces=4) for n in range(4)]
+    for uid in uids:
+        world.until(lambda uid=uid: world.stage(uid) == "done", 150.0)
+    assert bad in world.released
+
+
+def test_budgets_are_kept_under_many_readers() -> None:
+    world = ready()
+    uid = submit(world, 1, pieces=2)
+    world.run(20.0)
+    open_job = submit(world, 2, pieces=1)
+    world.times[open_job] = 60.0
+    before, began = world.state.requests, world.now
+    for _ in range(100):
+        for label in LABELS:
+            world.ask(label, "GET", f"/work/{open_job}")
+            world.ask(label, "GET", f"/work/{uid}")
+        world.run(0.1)
+    assert (world.state.requests - before) / (world.now - began) <= 200.0
+    assert world.stage(uid) == "done"
+
+
+def test_broken_messages_harm_nothing() -> None:
+    world = ready()
+    for body in (b"", b"{", b"[]", b'{"host":1}', b"\xff\xfe", b"[" * 5000):
+        assert world.get("node-0", "POST", "/checkin", body)[0] in (400, 503)
+        assert world.get("node-0", "POST", "/work", body)[0] == 400
+    assert world.get("node-0", "GET", "/checkin")[0] == 405
+    assert world.get("node-0", "DELETE", "/work")[0] == 405
+    assert world.get("node-0", "GET", "/elsewhere")[0] == 404
+    submit(world, 1)
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,541 @@
+"""A small world in memory, written from the protocol: state service, cloud, workers, network.
+
+Time moves in steps. Each step the controllers' effects are carried out, answers come back a
+step later, and workers act by the protocol's rules. The world itself watches the rules: a task
+on two machines, or a task of a cancelled job, ends the test.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from msgspec import convert
+
+from fallpulley.controller import Controller
+from fallpulley.effects import Answer, Call, Command, PeerMessage, Request, Result
+from fallpulley.settings import Settings
+
+STEP = 0.05
+LABELS = ["node-0", "node-1", "node-2"]
+STATE, CLOUD = "10.0.9.1:1", "10.0.9.2:1"
+TYPE = {
+    "label": "box",
+    "cpus": 8.0,
+    "cards": 0.0,
+    "mem_gb": 32.0,
+    "cache_gb": 40.0,
+    "fetch_gb_per_s": 1.0,
+    "hourly": 1.0,
+    "spot_price": 0.3,
+    "startup_s": 5.0,
+    "halls": ["a", "b"],
+}
+
+
+def settings(label: str, **facts: Any) -> Settings:
+    table = {
+        "label": label,
+        "site": "a",
+        "serve_on": f"10.0.0.{LABELS.index(label)}:1",
+        "mesh_addr": f"10.0.0.{LABELS.index(label)}:2",
+        "seeds": [
+            {"label": other, "site": "a", "address": f"10.0.0.{at}:2"}
+            for at, other in enumerate(LABELS)
+            if other != label
+        ],
+        "endpoints": {"cloud": CLOUD, "state": STATE},
+        "facts": {
+            "nodes": 3,
+            "zones": ["a", "b"],
+            "teams": [{"name": "crew"}, {"name": "small", "cpus_max": 8.0}],
+            "workers": {"report_s": 1.0, "lease_s": 8.0, "cancel_s": 30.0},
+            "state": {"rps": 200.0, "write_rps": 90.0, "value_kb": 16.0, "txn_ops": 16},
+            "cloud": {"rps": 10.0, "list_lag_s": 1.0},
+        }
+        | facts,
+    }
+    return convert(table, Settings)
+
+
+def job(uid: int, **over: Any) -> dict[str, Any]:
+    return {
+        "uid": f"job-{uid:06d}",
+        "jobclass": "work",
+        "crew": "crew",
+        "shape": "sweep",
+        "rank": "standard",
+        "pieces": 4,
+        "cpus": 4.0,
+        "cards": 0.0,
+        "mem_gb": 4.0,
+        "kit": "img",
+        "size_gb": 0.5,
+        "one_zone": False,
+        "apart": False,
+        "loaners": True,
+        "expect_s": 4.0,
+        "bookmark_s": 0.0,
+        "stow_s": 0.0,
+    } | over
+
+
+@dataclass
+class StateService:
+    data: dict[str, tuple[Any, int, int | None]] = field(default_factory=dict)
+    ledger: int = 0
+    log: list[dict[str, Any]] = field(default_factory=list)
+    leases: dict[int, tuple[float, float]] = field(default_factory=dict)
+    down: bool = False
+    requests: int = 0
+    changes: int = 0
+    _next: int = 0
+
+    def expire(self, now: float) -> None:
+        if self.down:
+            self.leases = {k: (life, now + life) for k, (life, _) in self.leases.items()}
+            return
+        for lease, (_, until) in list(self.leases.items()):
+            if until < now:
+                self.end(lease)
+
+    def end(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        keys = [k for k, (_, _, held) in self.data.items() if held == lease]
+        if keys:
+            self.ledger += 1
+            for key in keys:
+                del self.data[key]
+                self.log.append({"drop": key, "stamp": self.ledger})
+
+    def handle(self, method: str, path: str, body: bytes | None, now: float) -> tuple[int, Any]:
+        self.requests += 1
+        if self.down:
+            return 503, {"error": "down"}
+        route, _, query = path.partition("?")
+        args = dict(part.partition("=")[::2] for part in query.split("&") if part)
+        parsed = json.loads(body) if body else {}
+        if route == "/txn":
+            return self.txn(parsed)
+        if route == "/leases":
+            self._next += 1
+            life = parsed["life_ms"] / 1000
+            self.leases[self._next] = (life, now + life)
+            return 200, {"tenure": self._next}
+        if route.startswith("/leases/"):
+            lease = int(route.split("/")[2])
+            if lease not in self.leases:
+                return 404, {}
+            life, _ = self.leases[lease]
+            self.leases[lease] = (life, now + life)
+            return 200, {"tenure": lease}
+        if route == "/store":
+            keys = sorted(k for k in self.data if k.startswith(args["under"]))
+            keys = [k for k in keys if k > args.get("after", "")]
+            page = int(args.get("page", 1000))
+            pairs = [{"k": k, "v": self.data[k][0], "stamp": self.data[k][1]} for k in keys[:page]]
+            return 200, {"pairs": pairs, "has_next": len(keys) > page, "ledger": self.ledger}
+        if route.startswith("/store/"):
+            entry = self.data.get(route[len("/store/") :])
+            if entry is None:
+                return 404, {"ledger": self.ledger}
+            return 200, {"k": route[len("/store/") :], "v": entry[0], "stamp": entry[1]}
+        if route == "/changes":
+            return 200, self.news(args["under"], int(args["after"]))
+        return 400, {}
+
+    def news(self, under: str, after: int) -> dict[str, Any]:
+        news = [
+            e
+            for e in self.log
+            if e["stamp"] > after and e.get("set", e.get("drop", "")).startswith(under)
+        ]
+        return {"ledger": self.ledger, "news": news}
+
+    def txn(self, parsed: dict[str, Any]) -> tuple[int, Any]:
+        changes = parsed.get("then", [])
+        self.changes += len(changes)
+        assert len(changes) <= 16 and len(parsed.get("if", [])) <= 64
+        for change in changes:
+            if change.get("tenure") is not None and change["tenure"] not in self.leases:
+                return 400, {"error": "no such lease"}
+        failed = [c["k"] for c in parsed["if"] if self.data.get(c["k"], (0, 0, 0))[1] != c["stamp"]]
+        if failed:
+            return 409, {"failed": failed, "ledger": self.ledger}
+        if changes:
+            self.ledger += 1
+        for change in changes:
+            if "drop" in change:
+                if self.data.pop(change["drop"], None) is not None:
+                    self.log.append({"drop": change["drop"], "stamp": self.ledger})
+                continue
+            assert len(json.dumps(change["v"])) <= 16 * 1024
+            self.data[change["set"]] = (change["v"], self.ledger, change.get("tenure"))
+            self.log.append({"set": change["set"], "v": change["v"], "stamp": self.ledger})
+        return 200, {"ledger": self.ledger}
+
+
+class Worker:
+    def __init__(self, world: World, host: str, zone: str, spot: bool) -> None:
+        self.world, self.host, self.zone, self.spot = world, host, zone, spot
+        self.addr = f"10.1.0.{int(host[3:])}:9"
+        self.shift, self.tick, self.baton = 1, 0, 0
+        self.pieces: dict[str, dict[str, Any]] = {}
+        self.node = 0
+        self.next_at = world.now
+        self.lease_from = world.now
+        self.waiting: tuple[float, int] | None = None  # report in flight: sent at, number
+        self.hung = False
+        self.recall_s: float | None = None
+        self._number = 0
+
+    def report(self) -> dict[str, Any]:
+        self.tick += 1
+        pieces = [
+            {"piece": name, "try": p["try"], "stage": p["stage"]}
+            | ({"cause": p["cause"]} if p["stage"] == "ended" else {})
+            for name, p in self.pieces.items()
+        ]
+        return {
+            "host": self.host,
+            "addr": self.addr,
+            "build": "box",
+            "hall": self.zone,
+            "loaners": self.spot,
+            "shift": self.shift,
+            "tick": self.tick,
+            "baton": self.baton,
+            "recall_s": self.recall_s,
+            "pieces": pieces,
+        }
+
+    def on_machine(self) -> list[str]:
+        return [n for n, p in self.pieces.items() if p["stage"] in ("running", "saving")]
+
+    def act(self) -> None:
+        now = self.world.now
+        if self.hung:
+            return
+        if now - self.lease_from > self.world.lease_s:
+            self.pieces.clear()
+            self.shift += 1
+            self.lease_from = now
+            self.waiting = None
+        for name, piece in self.pieces.items():
+            if piece["stage"] == "pulling" and now >= piece["ready"]:
+                self.world.starts(name, self)
+                piece["stage"] = "running"
+                piece["end"] = now + self.world.duration(name)
+                self.next_at = min(self.next_at, now)
+            elif piece["stage"] == "running" and now >= piece["end"]:
+                piece["stage"] = "ended"
+                piece["cause"] = self.world.cause(name, self)
+                self.next_at = min(self.next_at, now)
+        if self.waiting is not None and now > self.waiting[0] + 4.0:
+            self.turn(1.0)
+        if self.waiting is None and now >= self.next_at:
+            self._number += 1
+            self.waiting = (now, self._number)
+            self.next_at = now + 1.0
+            self.world.check_in(self, LABELS[self.node], self._number, self.shift)
+
+    def turn(self, pause_s: float) -> None:
+        self.waiting = None
+        self.node = (self.node + 1) % len(LABELS)
+        self.next_at = self.world.now + pause_s
+
+    def answered(self, number: int, shift: int, status: int, body: bytes) -> None:
+        if self.hung or self.waiting is None or self.waiting[1] != number or shift != self.shift:
+            return
+        sent_at = self.waiting[0]
+        self.waiting = None
+        if status == 421 and body:
+            foreman = json.loads(body).get("foreman")
+            if foreman in LABELS and foreman != LABELS[self.node]:
+                self.node = LABELS.index(foreman)
+                self.next_at = self.world.now
+                return
+        if status != 200:
+            self.turn(1.0)
+            return
+        reply = json.loads(body)
+        if reply["baton"] < self.baton:
+            return
+        if reply["baton"] > self.baton:
+            self.baton = reply["baton"]
+            self.next_at = min(self.next_at, self.world.now + 0.5)
+        self.lease_from = max(self.lease_from, sent_at)
+        self.execute(reply["orders"])
+
+    def direct(self, body: dict[str, Any]) -> tuple[int, Any]:
+        if body["baton"] < self.baton or body["shift"] != self.shift:
+            return 409, self.report()
+        if body["baton"] > self.baton:
+            self.baton = body["baton"]
+            self.next_at = min(self.next_at, self.world.now)
+        self.execute(body["orders"])
+        return 200, self.report()
+
+    def execute(self, orders: list[dict[str, Any]]) -> None:
+        now = self.world.now
+        for order in orders:
+            name, piece = order["piece"], self.pieces.get(order["piece"])
+            same = piece is not None and piece["try"] == order["try"]
+            if order["verb"] == "run" and piece is None:
+                self.pieces[name] = {"try": order["try"], "stage": "pulling", "ready": now + 0.5}
+            elif order["verb"] == "run" and not same:
+                assert piece is not None
+                piece.update({"try": order["try"], "stage": "ended", "cause": "in_use"})
+            elif order["verb"] == "stop" and piece is not None and same:
+                if piece["stage"] != "ended":
+                    piece.update({"stage": "ended", "cause": "stopped"})
+                    self.next_at = min(self.next_at, now)
+            elif order["verb"] == "clear" and same and self.pieces[name]["stage"] == "ended":
+                del self.pieces[name]
+
+
+class World:
+    """Three controllers and all that they talk to."""
+
+    lease_s = 8.0
+
+    def __init__(self, machines: int = 2, start: bool = True, **facts: Any) -> None:
+        self.facts = facts
+        self.now = 100.0
+        self.state = StateService()
+        self.workers: dict[str, Worker] = {}
+        self.released: list[str] = []
+        self.hires: dict[str, list[str]] = {}
+        self.capacity = 6
+        self.controllers: dict[str, Controller] = {}
+        self.boots = 0
+        self.cut: set[tuple[str, str]] = set()  # (from, to), hosts, labels, "state", "cloud"
+        self.commands: dict[str, list[Command]] = {label: [] for label in LABELS}
+        self.polls: list[tuple[float, str, int, Call]] = []
+        self.later: list[tuple[float, Callable[[], None]]] = []
+        self.cancelled_at: dict[str, float] = {}
+        self.broken: list[str] = []
+        self.times: dict[str, float] = {}
+        self.errors: dict[str, str] = {}  # host -> cause of every end there
+        self.starts_seen: list[tuple[float, str, str]] = []
+        self.cloud_down = False
+        self._vm = 0
+        for at in range(machines):
+            self.machine("ab"[at % 2], spot=False)
+        if start:
+            for label in LABELS:
+                self.boot(label)
+
+    # -- parts -----------------------------------------------------------------------------
+
+    def machine(self, zone: str, spot: bool) -> str:
+        self._vm += 1
+        host = f"vm-{self._vm:06d}"
+        self.workers[host] = Worker(self, host, zone, spot)
+        return host
+
+    def boot(self, label: str) -> None:
+        self.boots += 1
+        self.commands[label] = []
+        made = settings(label, **self.facts)
+        self.controllers[label] = Controller(made, f"boot-{self.boots}", lambda: self.now)
+
+    def crash(self, *labels: str) -> None:
+        for label in labels:
+            self.controllers.pop(label, None)
+
+    def holder(self) -> str:
+        """The holder of the only block, by the state service."""
+        (record,) = [v for k, (v, _, _) in self.state.data.items() if k.startswith("live/block/")]
+        return str(record["holder"])
+
+    def duration(self, piece: str) -> float:
+        return self.times.get(piece.partition("/")[0], 4.0)
+
+    def cause(self, piece: str, worker: Worker) -> str:
+        return self.errors.get(worker.host, "done")
+
+    def starts(self, piece: str, worker: Worker) -> None:
+        self.starts_seen.append((self.now, piece, worker.host))
+        for other in self.workers.values():
+            if other is not worker and piece in other.on_machine():
+                self.broken.append(f"{self.now:.2f} {piece} on {other.host} and {worker.host}")
+        told = self.cancelled_at.get(piece.partition("/")[0])
+        if told is not None and self.now > told + 30.0:
+            self.broken.append(f"{self.now:.2f} {piece} starts after its cancel")
+
+    def blocked(self, one: str, other: str) -> bool:
+        return (one, other) in self.cut or (other, one) in self.cut
+
+    # -- the network -----------------------------------------------------------------------
+
+    def check_in(self, worker: Worker, label: str, number: int, shift: int) -> None:
+        body = json.dumps(worker.report()).encode()
+
+        def settle(status: int, answer: bytes, retry: float | None) -> None:
+            if not self.blocked(worker.host, label):
+                worker.answered(number, shift, status, answer)
+
+        if label not in self.controllers:
+            worker.turn(1.0)
+        elif not self.blocked(worker.host, label):
+            self.commands[label].append(Request(settle, "POST", "/checkin", body))
+
+    def ask(self, label: str, method: str, path: str, body: Any = None) -> list[Any]:
+        """Send a user's request; the returned list gets status, body and Retry-After."""
+        found: list[Any] = []
+        data = body if isinstance(body, bytes) else json.dumps(body).encode() if body else b""
+
+        def settle(status: int, answer: bytes, retry: float | None) -> None:
+            found.extend([status, json.loads(answer) if answer else None, retry])
+            if path.endswith("/abort") and status == 200 and found[1]["stage"] == "withdrawn":
+                self.cancelled_at.setdefault(path.split("/")[2], self.now)
+
+        self.commands[label].append(Request(settle, method, path, data))
+        return found
+
+    def get(self, label: str, method: str, path: str, body: Any = None) -> tuple[Any, ...]:
+        """Like `ask`, and run until the answer is there."""
+        found = self.ask(label, method, path, body)
+        self.until(lambda: bool(found), 5.0)
+        return tuple(found)
+
+    def _call(self, label: str, call: Call) -> None:
+        sent_at = self.now
+
+        def back(status: int | None, body: bytes) -> None:
+            controller = self.controllers.get(label)
+            if controller is not None and controller is caller:
+                self.commands[label].append(Result(call.done, status, body, sent_at))
+
+        caller = self.controllers[label]
+        if call.address == STATE:
+            if self.blocked(label, "state"):
+                self.later.append((self.now + call.timeout_s, lambda: back(None, b"")))
+            elif call.path.startswith("/changes") and not self.state.down:
+                self._watch(label, call, back)
+            else:
+                status, answer = self.state.handle(call.method, call.path, call.body, self.now)
+                self.later.append((self.now + STEP, lambda: back(status, _json(answer))))
+        elif call.address == CLOUD:
+            status, answer = self._cloud(call)
+            self.later.append((self.now + STEP, lambda: back(status, _json(answer))))
+        elif call.path == "/beat":
+            other = LABELS[int(call.address.split(":")[0].rpartition(".")[2])]
+            if other in self.controllers and not self.blocked(label, other):
+                self.commands[other].append(PeerMessage(call.body or b""))
+        else:
+            self._to_worker(label, call, back)
+
+    def _watch(self, label: str, call: Call, back: Callable[[int | None, bytes], None]) -> None:
+        query = call.path.partition("?")[2]
+        args = dict(part.partition("=")[::2] for part in query.split("&"))
+        self.state.requests += 1
+        until = self.now + int(args["hold_ms"]) / 1000
+
+        def look() -> None:
+            if self.state.down and self.now < until:
+                self.later.append((self.now + STEP, look))
+                return
+            if self.state.down:
+                back(503, b"")
+                return
+            news = self.state.news(args["under"], int(args["after"]))
+            if news["news"] or self.now >= until:
+                back(200, _json(news))
+            else:
+                self.later.append((self.now + STEP, look))
+
+        self.later.append((self.now + STEP, look))
+
+    def _to_worker(self, label: str, call: Call, back: Callable[[int | None, bytes], None]) -> None:
+        worker = next((w for w in self.workers.values() if w.addr == call.address), None)
+        if worker is None or worker.hung or self.blocked(worker.host, label):
+            self.later.append((self.now + call.timeout_s, lambda: back(None, b"")))
+            return
+        status, answer = worker.direct(json.loads(call.body or b"{}"))
+        self.later.append((self.now + STEP, lambda: back(status, _json(answer))))
+
+    def _cloud(self, call: Call) -> tuple[int, Any]:
+        body = json.loads(call.body) if call.body else {}
+        if self.cloud_down:
+            return 503, {"error": "trouble"}
+        if call.path == "/catalog":
+            return 200, {"builds": [TYPE]}
+        if call.path.startswith("/rentals?"):
+            hosts = [
+                {
+                    "uid": w.host,
+                    "addr": w.addr,
+                    "build": "box",
+                    "hall": w.zone,
+                    "loaners": w.spot,
+                    "stage": "running",
+                }
+                for w in self.workers.values()
+            ]
+            return 200, {"hosts": sorted(hosts, key=lambda h: str(h["uid"])), "has_next": False}
+        if call.path == "/rentals/release":
+            for host in body["hosts"]:
+                if self.workers.pop(host, None) is not None:
+                    self.released.append(host)
+            return 200, {}
+        if body["hire"] in self.hires:
+            return 200, {"hosts": self.hires[body["hire"]]}
+        count = min(body["number"], self.capacity - len(self.workers))
+        if count <= 0:
+            return 503, {"error": "no capacity"}
+        hosts = [self.machine(body["hall"], body["loaners"]) for _ in range(count)]
+        self.hires[body["hire"]] = hosts
+        return 200, {"hosts": hosts}
+
+    # -- time ------------------------------------------------------------------------------
+
+    def step(self) -> None:
+        self.now += STEP
+        self.state.expire(self.now)
+        due = [act for at, act in self.later if at <= self.now]
+        self.later = [(at, act) for at, act in self.later if at > self.now]
+        for act in due:
+            act()
+        for worker in list(self.workers.values()):
+            worker.act()
+        for label, controller in list(self.controllers.items()):
+            batch, self.commands[label] = self.commands[label], []
+            for effect in controller.step(batch, self.now, 1e6 + self.now):
+                if isinstance(effect, Answer):
+                    effect.ticket(effect.status, effect.body, effect.retry_after)
+                else:
+                    self._call(label, effect)
+        for told, at in self.cancelled_at.items():
+            if self.now > at + 30.0 and any(
+                name.startswith(told + "/")
+                for worker in self.workers.values()
+                for name in worker.on_machine()
+            ):
+                self.broken.append(f"{self.now:.2f} {told} still runs after its cancel")
+        assert not self.broken, self.broken
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP)):
+            self.step()
+
+    def until(self, met: Callable[[], bool], within_s: float) -> None:
+        for _ in range(round(within_s / STEP)):
+            if met():
+                return
+            self.step()
+        assert met(), f"not within {within_s} s"
+
+    def running(self, name: str = "") -> list[str]:
+        return [p for w in self.workers.values() for p in w.on_machine() if p.startswith(name)]
+
+    def stage(self, uid: str) -> Any:
+        entry = self.state.data.get(f"live/job/{uid}")
+        return entry[0].get("stage", "open") if entry else None
+
+
+def _json(value: Any) -> bytes:
+    return json.dumps(value).encode()
