--- a/fallpulley/blocks/held.py
+++ b/fallpulley/blocks/held.py
@@ -14,7 +14,7 @@
 
 from fallpulley.blocks.messages import BlockRecord, MachineEntry
 from fallpulley.core import Core
-from fallpulley.jobs.messages import JobRecord, split_piece
+from fallpulley.jobs.messages import ENSEMBLE, SERVICE, JobRecord, split_piece
 from fallpulley.jobs.open import OpenJob
 from fallpulley.placement.estimate import Corrections, run_estimate
 from fallpulley.placement.plan import Booking
@@ -27,6 +27,8 @@
 COUNTER_BITS = 22
 # A machine on which so many different jobs failed, and that completed less, is faulty.
 FAULTY_JOBS = 3
+# A service runs until it is cancelled; it is booked for so many worker leases at a time.
+SERVICE_LEASES = 60.0
 
 
 class HeldBlock:
@@ -91,6 +93,8 @@
         return cpus, cards
 
     def estimate(self, job: OpenJob) -> float:
+        if job.spec.shape == SERVICE:
+            return SERVICE_LEASES * self.core.lease_s
         corrected = job.spec.expect_s * self.corrections.factor(job.spec.jobclass)
         return run_estimate(corrected, job.observed, job.observed_s)
 
@@ -121,6 +125,18 @@
         machine.pieces = {}
         self.dirty = True
 
+    def stop_broken(self) -> None:
+        """What is left of an ensemble that lost a task makes room for all to start anew."""
+        for job in self.jobs.values():
+            if not job.broken:
+                continue
+            if not job.runs:
+                job.broken = False
+                self.dirty = True
+            for run in job.runs.values():
+                if run.stopping is None:
+                    self.stop(run, job.spec.stow_s)
+
     def settle_silent(self, fresh_at: float) -> None:
         """Machines whose lease is certainly over hold nothing any more.
 
@@ -238,7 +254,7 @@
 
     def _learn(self, machine: Machine, job: OpenJob, run: Run | None) -> None:
         machine.completed += 1
-        if run is None or run.running_at is None:
+        if run is None or run.running_at is None or job.spec.shape == SERVICE:
             return
         took = max(0.1, self.core.now - run.running_at)
         expected = self.estimate(job)
@@ -306,11 +322,14 @@
     # -- commands --------------------------------------------------------------------------
 
     def start(self, machine: Machine, job: OpenJob, booking: Booking, estimate_s: float) -> Order:
-        self.counter += 1
+        if job.spec.shape != ENSEMBLE or not job.runs:
+            self.counter += 1
+            job.attempt = (self.taken_stamp << COUNTER_BITS) + self.counter
+        # The tasks of an ensemble find each other by their common attempt.
         run = Run(
             job.job,
             booking.index,
-            (self.taken_stamp << COUNTER_BITS) + self.counter,
+            job.attempt,
             machine.host,
             self.core.now,
             estimate_s,
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -36,8 +36,8 @@
 
 # A watch returns at least so often within a session: its return proves the copy fresh.
 HOLDS_PER_SESSION = 3.0
-# Of its time, a controller plans at most one part in so many.
-PLAN_SHARE = 4.0
+# The next plan waits so many times what the last one took.
+PLAN_SHARE = 2.0
 # Estimates run out while nothing happens: plan again at least every so many reports.
 REPLAN_REPORTS = 1.0
 # A check-in of a machine being granted waits for the record, not longer than this.
@@ -86,9 +86,12 @@
                 log.exception("command failed %s", type(command).__name__)
                 if isinstance(command, Request):
                     core.answer(command.ticket, 503, b'{"error":"internal"}', 1.0)
-        self._tick()
-        self._plan()
-        self._answer_checkins()
+        for part in (self._tick, self._plan, self._answer_checkins):
+            try:
+                part()
+            except Exception:
+                # The next batch tries again; an end of the process would cost a takeover.
+                log.exception("step failed %s", part.__name__)
         core.lane.pump(now)
         effects, core.effects[:] = list(core.effects), []
         return effects
@@ -355,6 +358,7 @@
             self.keeper.tick(term)
         for held in self.held.values():
             held.settle_silent(self.view.fresh_at)
+            held.stop_broken()
             self._mark_used(held)
             if held.unproven:
                 held.fence(self.writer.addresses)
--- a/fallpulley/fleet/desk.py
+++ b/fallpulley/fleet/desk.py
@@ -46,19 +46,23 @@
         self.registry = registry
         self.writer = writer
         self.keeper = keeper
-        self._next: dict[str, float] = {}
+        self._last: dict[str, float] = {}
         self._levels: dict[GroupKey, float] = {}
 
     def tick(self, held: HeldBlock, leading: bool) -> list[Want]:
         """Give up what should go, rent as the leader, or say what the leader should rent."""
         now = self.core.now
-        if now < self._next.get(held.label, float("-inf")) or not self.registry.types:
+        if not self.registry.types:
             return []
-        self._next[held.label] = now + SIZING_S
+        # A partly filled hire is followed at once by one of the next kind.
+        last = self._last.get(held.label, float("-inf"))
+        if now < last + SIZING_S and self.keeper.answered_at <= last:
+            return []
+        self._last[held.label] = now
         self._look_over(held, leading)
         if not held.loaded:
             return []
-        sizing = self._size(held)
+        sizing = self._size(held, min(now - last, SIZING_S))
         for host in sizing.returns:
             self._give_up(held, held.machines[host], "idle")
         if leading:
@@ -67,7 +71,7 @@
             return []
         return [Want(held.label, r.build, r.zone, r.spot, r.number) for r in sizing.rents]
 
-    def _size(self, held: HeldBlock) -> Sizing:
+    def _size(self, held: HeldBlock, since_s: float) -> Sizing:
         now = self.core.now
         types = self.keeper.types or self.registry.types
         supply = []
@@ -107,8 +111,9 @@
                 supply.append(Supply(host, entry.build, entry.zone, entry.spot, kind.cpus, None))
         operators = self.core.settings.operators
         most = operators.machines_max or 10**6
-        groups = groups_of(held, types, now)
-        self._smooth(held.label, groups, types)
+        boot_s = min((kind.startup_s for kind in types.values()), default=60.0)
+        groups = groups_of(held, types, now, operators.drain_boots * boot_s)
+        self._smooth(held.label, groups, types, since_s)
         return size_fleet(
             groups,
             supply,
@@ -119,11 +124,13 @@
             most - len(supply),
         )
 
-    def _smooth(self, block: str, groups: list[Group], types: dict[str, MachineType]) -> None:
+    def _smooth(
+        self, block: str, groups: list[Group], types: dict[str, MachineType], since_s: float
+    ) -> None:
         """Jobs come in lumps that are over before a machine rented for them is up: what counts
         is the level of work over about a boot time, and backlogs far above it."""
         boot_s = min((kind.startup_s for kind in types.values()), default=60.0)
-        weight = min(1.0, SIZING_S / (SMOOTH_BOOTS * boot_s))
+        weight = min(1.0, since_s / (SMOOTH_BOOTS * boot_s))
         seen = set()
         for group in groups:
             key = (block, group.spot_ok, group.builds, group.zone, group.urgent)
--- a/fallpulley/fleet/keeper.py
+++ b/fallpulley/fleet/keeper.py
@@ -52,6 +52,7 @@
         self.released: dict[str, float] = {}
         self.refused_until: dict[tuple[str, str, bool], tuple[float, float]] = {}
         self.pending: dict[str, tuple[Hire, str]] = {}  # hires without an answer yet
+        self.answered_at = float("-inf")  # when the cloud last answered a hire
         self._counter = 0
         self._term = 0
         self._next_catalog = float("-inf")
@@ -248,6 +249,7 @@
         def done(status: int | None, body: bytes, sent_at: float) -> None:
             self._hiring.discard(name)
             self._retry_at[name] = self.core.now + 1.0
+            self.answered_at = self.core.now
             if name not in self.pending:
                 self._late_hire(status, body, request, block)
                 return
--- a/fallpulley/jobs/desk.py
+++ b/fallpulley/jobs/desk.py
@@ -17,6 +17,7 @@
     OPEN,
     PENDING,
     RUNNING,
+    SWEEP,
     WITHDRAWN,
     JobRecord,
     Stage,
@@ -140,8 +141,9 @@
 
     def submit(self, ticket: Any, body: bytes) -> None:
         spec = parse_submission(body)
-        if spec is None:
-            self._reject(ticket, 400, "malformed")
+        if isinstance(spec, str):
+            log.info("submission malformed why=%s", spec)
+            self._reject(ticket, 400, spec)
             return
         known = self.known.get(spec.uid)
         if known is not None:
@@ -190,10 +192,11 @@
                 break
         else:
             return "a task fits no allowed machine type"
-        if (team.cpus_max > 0 and spec.cpus > team.cpus_max) or (
-            team.gpus_max > 0 and spec.cards > team.gpus_max
+        together = 1 if spec.shape == SWEEP else spec.pieces
+        if (team.cpus_max > 0 and together * spec.cpus > team.cpus_max) or (
+            team.gpus_max > 0 and together * spec.cards > team.gpus_max
         ):
-            return "a task needs more than the team's limit"
+            return "the job needs more than the team's limit"
         return None
 
     def _choose_block(self, spec: Submission) -> str | None:
--- a/fallpulley/jobs/messages.py
+++ b/fallpulley/jobs/messages.py
@@ -11,6 +11,8 @@
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
 Text = Annotated[str, Meta(min_length=1, max_length=200)]
 
+SWEEP, ENSEMBLE, SERVICE = "sweep", "ensemble", "service"
+
 JOB_ID = re.compile(r"job-[0-9]{1,40}")
 
 PENDING, RUNNING, DONE, WITHDRAWN = "pending", "running", "done", "withdrawn"
@@ -26,7 +28,7 @@
     uid: Text
     jobclass: Text
     crew: Text
-    shape: Literal["sweep"]
+    shape: Literal["sweep", "ensemble", "service"]
     rank: Literal["production", "high", "standard", "best_effort"]
     pieces: Annotated[int, Meta(ge=1, le=100_000)]
     cpus: Amount
@@ -37,7 +39,7 @@
     one_zone: bool
     apart: bool
     loaners: bool
-    expect_s: Annotated[float, Meta(gt=0, le=1e9)]
+    expect_s: Amount
     bookmark_s: Amount
     stow_s: Amount
     builds: Annotated[list[Text], Meta(max_length=64)] | None = None
@@ -73,14 +75,18 @@
     running: int | None = None
 
 
-def parse_submission(body: bytes) -> Submission | None:
-    """The submission, or None for anything malformed."""
+def parse_submission(body: bytes) -> Submission | str:
+    """The submission, or what is malformed about it."""
     try:
         found = msgspec.json.decode(body, type=Submission)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
-        return None
-    if not JOB_ID.fullmatch(found.uid) or (found.builds is not None and not found.builds):
-        return None
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return str(error) or "malformed"
+    if not JOB_ID.fullmatch(found.uid):
+        return "Not a job id - at `$.uid`"
+    if found.builds is not None and not found.builds:
+        return "No machine type allowed - at `$.builds`"
+    if found.expect_s <= 0 and found.shape != SERVICE:
+        return "Expected `float` > 0 - at `$.expect_s`"
     return found
 
 
--- a/fallpulley/jobs/open.py
+++ b/fallpulley/jobs/open.py
@@ -6,7 +6,7 @@
 import binascii
 from collections import deque
 
-from fallpulley.jobs.messages import JobRecord, Submission
+from fallpulley.jobs.messages import ENSEMBLE, JobRecord, Submission
 from fallpulley.workers.machine import Run
 
 # Of a value's room, the share a chunk of completion bits may take after base64.
@@ -34,6 +34,10 @@
         self.runs: dict[int, Run] = {}
         self.queue: deque[int] = deque(range(spec.pieces))
         self.withdrawn = False
+        # An ensemble runs together or not at all: once a task has to start again, the others
+        # are stopped, and all start anew when none is left.
+        self.broken = False
+        self.attempt = 0  # the latest attempt's number
         self.ending = False  # the final record is being written
         self.observed = 0
         self.observed_s = 0.0
@@ -87,6 +91,7 @@
     def put_back(self, index: int) -> None:
         if not self.is_done(index):
             self.queue.appendleft(index)
+            self.broken = self.spec.shape == ENSEMBLE and bool(self.runs)
 
     def failed(self, host: str, now: float, lease_s: float) -> None:
         """Another machine next; when it fails everywhere, growing pauses."""
--- a/fallpulley/placement/plan.py
+++ b/fallpulley/placement/plan.py
@@ -63,6 +63,7 @@
     zone_room: dict[str, int] | None = None  # for jobs spread over zones
     one_zone: bool = False
     avoid: set[str] | None = None  # machines where it failed
+    together: bool = False  # all tasks start at one time, or none
 
 
 class Booking(msgspec.Struct):
@@ -208,6 +209,7 @@
                 heap.append(entry)
     heapq.heapify(heap)
     booked = 0
+    first = len(plan.starts)
     for index in job.tasks:
         entry = None
         while heap:
@@ -244,4 +246,8 @@
         again = candidate(number, slot)
         if again is not None:
             heapq.heappush(heap, again)
+    if job.together and len(plan.starts) - first < len(job.tasks):
+        # The bookings keep the room; the ensemble starts when all of them start now.
+        plan.booked_later += len(plan.starts) - first
+        del plan.starts[first:]
     return booked
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -11,7 +11,7 @@
 from fallpulley.core import Core
 from fallpulley.fleet.messages import MachineType
 from fallpulley.fleet.sizing import Group
-from fallpulley.jobs.messages import RANKS
+from fallpulley.jobs.messages import ENSEMBLE, RANKS, SERVICE
 from fallpulley.jobs.open import OpenJob
 from fallpulley.placement.estimate import left_of
 from fallpulley.placement.plan import (
@@ -96,7 +96,7 @@
         if team is not None and team.limited and (held.unproven or not held.loaded):
             continue  # tasks we cannot see may use up the limit
         tasks = job.waiting(BOOKINGS_MOST)
-        if not tasks:
+        if not tasks or job.broken:
             continue
         found.append(_waiting(held, core, job, tasks, slots, wall_ms))
     found.sort(key=queue_order)
@@ -142,6 +142,7 @@
         zone_room,
         spec.one_zone,
         job.failed_on or None,
+        spec.shape == ENSEMBLE and not job.runs,
     )
 
 
@@ -164,6 +165,8 @@
         for at in (0, 1):
             if entry.need[at] > 0 and rest[at] < math.inf:
                 count = min(count, max(0, int((rest[at] + 1e-6) / entry.need[at])))
+        if entry.together and count < len(entry.tasks):
+            count = 0
         entry.tasks = entry.tasks[:count]
         rest[0] -= count * entry.need[0]
         rest[1] -= count * entry.need[1]
@@ -254,7 +257,9 @@
     return found
 
 
-def groups_of(held: HeldBlock, types: dict[str, MachineType], now: float) -> list[Group]:
+def groups_of(
+    held: HeldBlock, types: dict[str, MachineType], now: float, drain_s: float
+) -> list[Group]:
     """Queued and running work by the machines it may use."""
     groups: dict[tuple[object, ...], Group] = {}
     for job in held.jobs.values():
@@ -263,6 +268,9 @@
         spec = job.spec
         processors = _processors(job, types)
         estimate = held.estimate(job)
+        if spec.shape == SERVICE:
+            # Not work that drains: as much as occupies its own processors all the time.
+            estimate = min(estimate, drain_s)
         work = job.waiting_count() * estimate * processors
         for run in job.runs.values():
             ran = now - run.running_at if run.running_at is not None else 0.0
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -370,3 +370,35 @@
     # No machine stands in two records.
     hosts = [host for record in world.blocks().values() for host in record["machines"]]
     assert len(hosts) == len(set(hosts))
+
+
+def test_an_ensemble_starts_together_and_anew_after_losing_a_task() -> None:
+    world = ready(2)
+    world.capacity = 2
+    filler = submit(world, 1, pieces=3)
+    world.times[filler] = 12.0
+    world.until(lambda: len(world.running(filler)) == 3, 20.0)
+    uid = submit(world, 2, pieces=3, shape="ensemble")
+    world.times[uid] = 20.0
+    world.run(5.0)
+    assert not world.running(uid)  # there is room for one of its tasks only
+    world.until(lambda: len(world.running(uid)) == 3, 30.0)
+    begun = [at for at, piece, _ in world.starts_seen if piece.startswith(uid)]
+    assert max(begun) - min(begun) < 2.0
+    victim = next(w for w in world.workers.values() if w.on_machine())
+    victim.hung = True
+    world.run(20.0)
+    victim.hung = False
+    world.until(lambda: world.stage(uid) == "done", 120.0)
+
+
+def test_a_service_runs_until_it_is_cancelled() -> None:
+    world = ready(2)
+    uid = submit(world, 1, pieces=2, shape="service", expect_s=0.0)
+    world.times[uid] = 1e6
+    world.run(60.0)
+    assert len(world.running(uid)) == 2
+    assert world.get("node-1", "GET", f"/work/{uid}")[1]["stage"] == "running"
+    assert world.get("node-0", "POST", f"/work/{uid}/abort")[1]["stage"] == "withdrawn"
+    world.run(5.0)
+    assert not world.running(uid)
