--- a/fallpulley/serve.py
+++ b/fallpulley/serve.py
@@ -77,9 +77,15 @@
 
     async def _call(self, call: Call) -> None:
         sent_at = time.monotonic()
-        status, body = await self.client.call(
-            call.address, call.method, call.path, call.body, call.timeout_s
-        )
+        status: int | None = None
+        body = b""
+        try:
+            status, body = await self.client.call(
+                call.address, call.method, call.path, call.body, call.timeout_s
+            )
+        except Exception:
+            # Whatever went wrong with one call, its outcome is unknown and the process goes on.
+            log.exception("call failed address=%s path=%s", call.address, call.path)
         self.post(Result(call.done, status, body, sent_at))
 
 
