--- a/fallpulley/blocks/leadership.py
+++ b/fallpulley/blocks/leadership.py
@@ -92,13 +92,16 @@
             self._spare_since = (to, self.core.now)
         if self.core.now - self._spare_since[1] < SPARE_LEASES * self.core.lease_s:
             return
-        label = to if to in ours else max(ours)
+        self.give(to if to in ours else max(ours), to)
+
+    def give(self, label: str, to: str) -> None:
+        """Make another live controller the holder of a block of ours."""
         key = BLOCKS + label
-        if not self._guard(key):
+        if to not in self.registry.sessions or not self._guard(key):
             return
         record, stamp = self.registry.blocks[label]
         session, session_stamp = self.registry.sessions[to]
-        log.info("block handed back block=%s to=%s", label, to)
+        log.info("block given block=%s to=%s", label, to)
         conditions = {key: stamp, SESSIONS + to: session_stamp}
         value = msgspec.json.encode(BlockRecord(to, session.boot, record.machines))
         self._write(key, conditions, value)
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -45,6 +45,8 @@
 
 # A controller that could read nothing for so long after its start calls that an outage.
 NEVER_READ_BEATS = 4.0
+# A holder that hears none of its machines for this share of their lease gives its block away.
+DEAF_LEASES = 0.4
 
 
 class Controller:
@@ -359,6 +361,7 @@
         for held in self.held.values():
             held.settle_silent(self.view.fresh_at)
             held.stop_broken()
+            self._give_if_deaf(held)
             self._mark_used(held)
             if held.unproven:
                 held.fence(self.writer.addresses)
@@ -376,6 +379,23 @@
             self.peers.tick(self.fresh_s(), counts, self._wants, self.keeper.targets)
             self._wants = []
 
+    def _give_if_deaf(self, held: HeldBlock) -> None:
+        """No machine reaches us any more, but the state service and a peer do: the peer may be
+        heard by them, and if so in time for their leases."""
+        heard = [m.heard_at for m in held.machines.values() if m.up]
+        now = self.core.now
+        if not heard or not self.session.live():
+            return
+        if now - max(heard) < DEAF_LEASES * self.core.lease_s:
+            return
+        peers = sorted(
+            label
+            for label in self.registry.sessions
+            if label != self.core.label and self.peers.recent(label)
+        )
+        if peers:
+            self.leadership.give(held.label, peers[held.token % len(peers)])
+
     def _target_sizes(self) -> dict[str, int]:
         blocks = self.registry.blocks
         if len(blocks) < 2:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -402,3 +402,16 @@
     assert world.get("node-0", "POST", f"/work/{uid}/abort")[1]["stage"] == "withdrawn"
     world.run(5.0)
     assert not world.running(uid)
+
+
+def test_a_holder_that_no_machine_reaches_gives_its_block_away_in_time() -> None:
+    world = ready()
+    uid = submit(world, 1, pieces=4)
+    world.times[uid] = 30.0
+    world.until(lambda: len(world.running(uid)) == 4, 20.0)
+    old = world.holder()
+    for host in world.workers:
+        world.cut.add((host, old))
+    world.until(lambda: world.holder() != old, 6.0)
+    world.until(lambda: world.stage(uid) == "done", 60.0)
+    assert len(world.starts_seen) == 4  # their leases were renewed before they ran out
