--- a/fallpulley/blocks/held.py
+++ b/fallpulley/blocks/held.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from fallpulley.blocks.messages import BlockRecord, MachineEntry
-from fallpulley.core import Core
+from fallpulley.core import DRIFT, Core
 from fallpulley.jobs.messages import ENSEMBLE, SERVICE, JobRecord, split_piece
 from fallpulley.jobs.open import OpenJob
 from fallpulley.placement.estimate import Corrections, run_estimate
@@ -44,7 +44,7 @@
         self.token = stamp
         self.taken_stamp = stamp
         self.taken_at = core.now
-        # The earlier holder may answer its machines until its window ends; a machine that
+        # Earlier holders may answer their machines until their windows end; a machine that
         # cannot be reached is empty a lease later.
         self.empty_at = core.now + core.window_s + core.lease_over_s
         self.machines = {
@@ -185,8 +185,12 @@
             self.unproven.discard(host)
             self.dirty = True
 
-    def old_holder_ended(self) -> None:
-        """The earlier holder's process is gone: it answers nobody from now on."""
+    def formers_silent(self) -> bool:
+        """The answer window of every earlier holder is over."""
+        return self.core.now > self.taken_at + self.core.window_s * DRIFT
+
+    def old_holders_ended(self) -> None:
+        """The earlier holders' processes are gone: they answer nobody from now on."""
         self.empty_at = min(self.empty_at, self.core.now + self.core.lease_over_s)
 
     def take_report(self, machine: Machine, report: Report, checkin: bool) -> bool:
--- a/fallpulley/blocks/leadership.py
+++ b/fallpulley/blocks/leadership.py
@@ -111,7 +111,8 @@
         session, session_stamp = self.registry.sessions[to]
         log.info("block given block=%s to=%s", label, to)
         conditions = {key: stamp, SESSIONS + to: session_stamp}
-        value = BlockRecord(to, session.boot, record.machines).encode()
+        formers = self.registry.formers(record, self.core.label, self.core.boot)
+        value = BlockRecord(to, session.boot, record.machines, formers).encode()
         self._write(key, conditions, value)
 
     def _guard(self, key: str) -> bool:
@@ -155,7 +156,9 @@
             self.session.key: self.view.stamp(self.session.key),
             old: self.view.stamp(old),
         }
-        value = BlockRecord(self.core.label, self.core.boot, record.machines).encode()
+        formers = self.registry.formers(record, self.core.label, self.core.boot)
+        formers = [former for former in formers if former.boot != self.core.boot]
+        value = BlockRecord(self.core.label, self.core.boot, record.machines, formers).encode()
         self._write(key, conditions, value)
 
     def _open(self, label: str, holder: str) -> None:
--- a/fallpulley/blocks/messages.py
+++ b/fallpulley/blocks/messages.py
@@ -26,6 +26,13 @@
     used: bool = False
 
 
+class Former(msgspec.Struct, frozen=True, array_like=True):
+    """A process that held the block before its present holder."""
+
+    label: str
+    boot: str
+
+
 class BlockRecord(msgspec.Struct):
     """`live/block/<label>`: who holds the block, and its machines.
 
@@ -35,6 +42,10 @@
     holder: str
     boot: str
     machines: dict[str, MachineEntry]
+    # Former holders that may still answer machines within their windows. Not the last one alone:
+    # a holder cut off with half the machines went on answering them while its successor came
+    # and ended, and that end was taken for its own.
+    earlier: list[Former] = []
 
     def encode(self) -> bytes:
         """Machines of one kind together, in order of their names, and packed: names and addresses
@@ -46,7 +57,7 @@
             groups.setdefault(kind, {})[host] = entry.addr
         wire = [_Group(*kind, hosts) for kind, hosts in groups.items()]
         packed = zlib.compress(msgspec.json.encode(wire))
-        return msgspec.json.encode(_BlockWire(self.holder, self.boot, packed))
+        return msgspec.json.encode(_BlockWire(self.holder, self.boot, packed, self.earlier))
 
 
 class _Group(msgspec.Struct, array_like=True):
@@ -61,6 +72,7 @@
     holder: str
     boot: str
     packed: bytes  # in base64; the groups as JSON, compressed
+    earlier: list[Former] = []
 
 
 def decode_block(value: bytes) -> BlockRecord:
@@ -75,7 +87,7 @@
         for group in groups
         for host, addr in group.hosts.items()
     }
-    return BlockRecord(wire.holder, wire.boot, machines)
+    return BlockRecord(wire.holder, wire.boot, machines, wire.earlier)
 
 
 class TeamHome(msgspec.Struct):
--- a/fallpulley/blocks/registry.py
+++ b/fallpulley/blocks/registry.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from fallpulley.blocks.messages import BlockRecord, Session, TeamHome, decode_block
+from fallpulley.blocks.messages import BlockRecord, Former, Session, TeamHome, decode_block
 from fallpulley.fleet.messages import Catalog, MachineType
 
 log = logging.getLogger(__name__)
@@ -78,6 +78,18 @@
         entry = self.blocks.get(label)
         return None if entry is None else entry[0].holder
 
+    def ended(self, former: Former, label: str, boot: str) -> bool:
+        """A newer process of a label (`label` and `boot` are our own) means that the older one
+        has ended: records come in one order, so a session seen now is the newest."""
+        session = self.sessions.get(former.label)
+        newer = session is not None and session[0].boot != former.boot
+        return newer or (former.label == label and former.boot != boot)
+
+    def formers(self, record: BlockRecord, label: str, boot: str) -> list[Former]:
+        """The former holders of a block that changes hands: those not known to have ended."""
+        found = [*record.earlier, Former(record.holder, record.boot)]
+        return [f for f in dict.fromkeys(found) if not self.ended(f, label, boot)]
+
     def holder_alive(self, record: BlockRecord) -> bool:
         session = self.sessions.get(record.holder)
         return session is not None and session[0].boot == record.boot
--- a/fallpulley/blocks/writer.py
+++ b/fallpulley/blocks/writer.py
@@ -37,6 +37,7 @@
         self.marks: dict[str, dict[str, bool]] = {}  # block -> machine -> to be marked used
         self._unsure: set[str] = set()  # blocks with a write that may still be applied
         self._seen_from: dict[str, int] = {}  # block -> stamp of our last write
+        self.alone: set[str] = set()  # blocks of ours whose former holders answer nobody any more
         self.touching: set[str] = set()  # blocks that want a newer stamp, changed or not
         self.addresses: dict[str, str] = {}  # learned from lists and reports
         self._busy: dict[str, float] = {}  # block -> until when its last write is awaited
@@ -70,6 +71,7 @@
         self.marks.pop(block, None)
         self.handing.pop(block, None)
         self.touching.discard(block)
+        self.alone.discard(block)
 
     def has_room(self, block: str) -> bool:
         """The block's record can take one machine more."""
@@ -136,14 +138,15 @@
         key = BLOCKS + label
         conditions = {key: stamp}
         changes = self._hand(label, handing, machines, conditions)
-        value = BlockRecord(record.holder, record.boot, machines).encode()
+        earlier = [] if label in self.alone else record.earlier
+        value = BlockRecord(record.holder, record.boot, machines, earlier).encode()
         while len(value) > self.most_bytes and adding:
             # A record that no value holds could never be written again: what came last is left
             # to the next list, which grants it to a block with room.
             for host in list(adding)[len(adding) // 2 :]:
                 del adding[host]
                 machines.pop(host, None)
-            value = BlockRecord(record.holder, record.boot, machines).encode()
+            value = BlockRecord(record.holder, record.boot, machines, earlier).encode()
         changes.append(Change(key, value))
         changes += [Change(RETIRED + host, b"{}") for host in out]
         self._busy[label] = self.core.now + 3.0
@@ -181,7 +184,7 @@
         for host in moved:
             entry = machines[host]
             gets[host] = MachineEntry(entry.addr, entry.build, entry.zone, entry.spot)
-        value = BlockRecord(record.holder, record.boot, gets).encode()
+        value = BlockRecord(record.holder, record.boot, gets, record.earlier).encode()
         ours = self.registry.filled.get(own, 0)
         if len(value) > self.most_bytes or len(value) + ours > TXN_BYTES:
             handing.clear()  # a value, or the transaction with both, would be too large: they stay
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -13,6 +13,7 @@
 
 from fallpulley.blocks.held import HeldBlock
 from fallpulley.blocks.leadership import Leadership
+from fallpulley.blocks.messages import Former
 from fallpulley.blocks.registry import BLOCKS, SESSIONS, Registry
 from fallpulley.blocks.session import SessionKeeper
 from fallpulley.blocks.shares import target_sizes
@@ -80,7 +81,7 @@
         self.job_keeper = JobKeeper(core)
         self.peers = Peers(core)
         self.held: dict[str, HeldBlock] = {}
-        self._previous: dict[str, tuple[str, str]] = {}  # block -> holder before us
+        self._formers: dict[str, list[Former]] = {}  # block -> holders before us
         # Check-ins to be answered: ticket, block, machine, newer report, until when to wait.
         self._checkins: list[tuple[Any, HeldBlock, Machine, bool, float]] = []
         self._started_at = 0.0
@@ -241,7 +242,7 @@
             return
         held = HeldBlock(core, label, record, stamp, fresh=previous is None)
         self.held[label] = held
-        self._previous[label] = previous or (core.label, core.boot)
+        self._formers[label] = record.earlier
         log.info(
             "block held block=%s term=%d machines=%d from=%s",
             label,
@@ -256,16 +257,15 @@
         self._check_old_holders()
 
     def _check_old_holders(self) -> None:
-        """A newer process of a label means that the older one has ended."""
+        """Once every former holder's process has ended, nobody else answers a block's machines."""
+        core = self.core
         for label, held in self.held.items():
-            holder, boot = self._previous.get(label, ("", ""))
-            if not held.unproven or not holder:
+            formers = self._formers.get(label)
+            if not held.unproven or formers is None:
                 continue
-            session = self.registry.sessions.get(holder)
-            newer = session is not None and session[0].boot != boot
-            if newer or (holder == self.core.label and boot != self.core.boot):
-                held.old_holder_ended()
-                self._previous[label] = ("", "")
+            if all(self.registry.ended(former, core.label, core.boot) for former in formers):
+                held.old_holders_ended()
+                del self._formers[label]
 
     # -- check-ins -------------------------------------------------------------------------
 
@@ -413,6 +413,8 @@
             self._mark_used(held)
             if held.unproven:
                 held.fence(self.writer.addresses)
+            if held.formers_silent():
+                self.writer.alone.add(held.label)
             if held.touch:
                 self.writer.touching.add(held.label)
             self.job_keeper.tick(held)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -184,6 +184,30 @@
     world.until(lambda: world.stage(uid) == "done", 120.0)
 
 
+def test_a_holder_cut_off_with_a_machine_counts_until_its_window_ends_whoever_came_since() -> None:
+    """Its successor ended, and that end was taken for its own: the tasks on the machine, which it
+    still answered, were started a second time."""
+    world = ready(3)
+    world.capacity = 3
+    uid = submit(world, 1, pieces=5)
+    world.times[uid] = 90.0
+    world.until(lambda: len(world.running(uid)) == 5, 20.0)
+    first = world.holder()
+    lone = max(world.workers.values(), key=lambda worker: len(worker.on_machine()))
+    world.cut.update((first, other) for other in [*others(first), "state"])
+    world.cut.update((lone.host, other) for other in others(first))
+    world.cloud_down = True
+    world.until(lambda: world.holder() != first, 10.0)
+    second = world.holder()
+    world.run(3.0)
+    world.crash(second)
+    world.until(lambda: world.holder() not in (first, second), 10.0)
+    world.boot(second)
+    world.run(40.0)
+    world.cut.clear()
+    world.until(lambda: world.stage(uid) == "done", 200.0)
+
+
 def test_machines_that_cannot_hold_tasks_do_not_hold_back_a_taken_over_job() -> None:
     world, _ = busy(8, 10.0)
     never = world.machine("a", spot=False)  # in the record, but it does not come up
