--- a/fallpulley/blocks/shares.py
+++ b/fallpulley/blocks/shares.py
@@ -8,7 +8,7 @@
 
 # Processor time of one check-in on a whole core, with its share of planning and of answers to
 # users: measured on the simulated controllers, rounded up.
-CHECKIN_S = 0.0005
+CHECKIN_S = 0.0003
 # Of a controller's share of a core, what check-ins may take.
 CHECKIN_SHARE = 0.5
 # Bytes that a machine adds to its block's record at the most, with a name and an address of the
