--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -47,7 +47,7 @@
 # task has just left stood idle until the next report.
 DEFER_REPORTS = 0.25
 # Plans lie at least so many report intervals apart: what comes between is planned together.
-PLAN_REPORTS = 1.0 / 10.0
+PLAN_REPORTS = 0.15
 # A machine whose next report is due within this share of an interval need not be poked.
 POKE_REPORTS = 0.25
 # Estimates run out while nothing happens: plan again at least every so many reports.
--- a/fallpulley/serve.py
+++ b/fallpulley/serve.py
@@ -22,7 +22,7 @@
 TICK_S = 0.1
 # What arrives within this time is one batch: at 200 check-ins a second a step for each would cost
 # more than all of them, and nobody who waits for an answer notices.
-GATHER_S = 0.008
+GATHER_S = 0.015
 # How often connections that were idle for long are closed.
 SWEEP_S = 5.0
 # Of the machine's sockets: for users and workers, for other controllers and for calls to workers;
--- a/tests/test_day_end.py
+++ b/tests/test_day_end.py
@@ -360,6 +360,26 @@
     assert all(len(json.dumps(record)) <= 256 for record in world.blocks().values())
 
 
+def test_the_last_controller_takes_over_a_fleet_half_as_large_again() -> None:
+    """940 machines on one record: none loses its lease, and no task starts a second time."""
+    world = World(940)
+    world.capacity = 940
+    world.until(lambda: any(len(machines_of(r)) == 940 for r in world.blocks().values()), 10.0)
+    for n in range(4):
+        uid = submit(world, n, pieces=470, expect_s=60.0)
+        world.times[uid] = 60.0
+    world.until(lambda: len(world.starts_seen) == 1880, 15.0)
+    world.crash(world.holder())
+    world.crash(next(iter(world.controllers)))
+    (last,) = world.controllers
+    world.until(lambda: world.holder() == last, 10.0)
+    world.run(10.0)
+    held = world.controllers[last].held.values()
+    assert sum(len(list(block.runs())) for block in held) == 1880
+    assert len(world.starts_seen) == 1880
+    assert {worker.shift for worker in world.workers.values()} == {1}
+
+
 def test_a_wave_of_recalls_at_a_takeover_holds_nothing_back_for_a_lease() -> None:
     """A third of a zone is no cut of the network: released, it is proved empty at once. Waiting
     for the leases stopped all old jobs for 25 s."""
