--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -39,15 +39,18 @@
 HOLDS_PER_SESSION = 3.0
 # Machines, jobs and records are looked over so often within a report interval.
 TICK_REPORTS = 1.0 / 15.0
-# The next plan waits so many times what the last one took.
-PLAN_SHARE = 4.0
+# The next plan waits so many times what the last one took: a twentieth of the time is for
+# planning. Where that would be longer than a part of a report interval, room would stand idle for
+# what it saves: then up to a fifth of the time is.
+PLAN_SHARE, PLAN_SHARE_LEAST = 20.0, 4.0
+PLAN_REPORTS_MOST = 0.15
 # A machine of a block just taken over is answered so often before it must have shown our token.
 KNOCKS_MOST = 3
 # A machine with room waits so long for the next plan to answer its report: without, room that a
 # task has just left stood idle until the next report.
 DEFER_REPORTS = 0.25
 # Plans lie at least so many report intervals apart: what comes between is planned together.
-PLAN_REPORTS = 0.15
+PLAN_REPORTS = 1.0 / 20.0
 # A machine whose next report is due within this share of an interval need not be poked.
 POKE_REPORTS = 0.25
 # Estimates run out while nothing happens: plan again at least every so many reports.
@@ -536,5 +539,8 @@
             self._poke(held)
         if planned:
             took = self.core.clock() - began
-            self._plan_ready_at = now + max(took * PLAN_SHARE, PLAN_REPORTS * self.core.report_s)
+            report_s = self.core.report_s
+            wait_s = min(took * PLAN_SHARE, PLAN_REPORTS_MOST * report_s)
+            wait_s = max(wait_s, took * PLAN_SHARE_LEAST, PLAN_REPORTS * report_s)
+            self._plan_ready_at = now + wait_s
             self._replan_at = now + REPLAN_REPORTS * self.core.report_s
