--- a/tests/test_day_end.py
+++ b/tests/test_day_end.py
@@ -360,6 +360,30 @@
     assert all(len(json.dumps(record)) <= 256 for record in world.blocks().values())
 
 
+@pytest.mark.parametrize(
+    ("took_s", "least_s", "most_s"), [(0.0, 0.0, 0.11), (0.006, 0.11, 0.2), (0.2, 0.79, 0.9)]
+)
+def test_plans_lie_further_apart_the_more_they_take(
+    took_s: float, least_s: float, most_s: float
+) -> None:
+    """Too seldom, and room stands idle; too often, and a large fleet's plans take all the time."""
+    world, _ = busy(8, 60.0)
+    controller = world.controllers[world.holder()]
+    ticks = iter(range(10**6))
+    controller.core.clock = lambda: next(ticks) * took_s
+    (held,) = controller.held.values()
+    planned = -1.0
+    for _ in range(40):
+        held.dirty = True
+        before = controller._plan_ready_at
+        world.step()
+        if controller._plan_ready_at != before:
+            planned = world.now
+            break
+    assert planned > 0
+    assert least_s <= controller._plan_ready_at - planned <= most_s
+
+
 def test_the_last_controller_takes_over_a_fleet_half_as_large_again() -> None:
     """940 machines on one record: none loses its lease, and no task starts a second time."""
     world = World(940)
