--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -39,14 +39,14 @@
 # Machines, jobs and records are looked over so often within a report interval.
 TICK_REPORTS = 1.0 / 15.0
 # The next plan waits so many times what the last one took.
-PLAN_SHARE = 2.0
+PLAN_SHARE = 4.0
 # A machine of a block just taken over is answered so often before it must have shown our token.
 KNOCKS_MOST = 3
 # A machine with room waits so long for the next plan to answer its report: without, room that a
 # task has just left stood idle until the next report.
 DEFER_REPORTS = 0.25
 # Plans lie at least so many report intervals apart: what comes between is planned together.
-PLAN_REPORTS = 1.0 / 20.0
+PLAN_REPORTS = 1.0 / 10.0
 # A machine whose next report is due within this share of an interval need not be poked.
 POKE_REPORTS = 0.25
 # Estimates run out while nothing happens: plan again at least every so many reports.
--- a/fallpulley/serve.py
+++ b/fallpulley/serve.py
@@ -25,8 +25,10 @@
 GATHER_S = 0.008
 # How often connections that were idle for long are closed.
 SWEEP_S = 5.0
-# Of the machine's sockets: for users and workers, for other controllers, the rest for calls.
-SERVE_SHARE, MESH_SHARE = 0.7, 0.05
+# Of the machine's sockets: for users and workers, for other controllers and for calls to workers;
+# the rest is for calls to the state service, the cloud and peers. Every machine of the fleet holds
+# a connection to the controller that serves it, and only one controller may be left.
+SERVE_SHARE, MESH_SHARE, CALL_SHARE = 0.8, 0.04, 0.11
 
 
 class Service:
@@ -62,7 +64,10 @@
             self.settings.mesh_addr, self.post_peer, max(8, int(limits.sockets * MESH_SHARE))
         )
         async with anyio.create_task_group() as tasks:
-            client = Client(tasks)
+            settings = self.settings
+            first = [settings.endpoints.state, settings.endpoints.cloud]
+            first += [seed.address for seed in settings.seeds]
+            client = Client(tasks, max(8, int(limits.sockets * CALL_SHARE)), first)
             tasks.start_soon(public.run)
             tasks.start_soon(mesh.run)
             tasks.start_soon(self._sweep, client)
--- a/fallpulley/wire/client.py
+++ b/fallpulley/wire/client.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import time
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Collection
 
 import anyio
 import anyio.abc
@@ -75,6 +75,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.client.open.add(self)
 
     def send(self, call: _Call) -> None:
         self.call, call.connection = call, self
@@ -148,9 +149,22 @@
 
 
 class Client:
-    def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
+    """Calls wait for a socket while `sockets` are in use: a takeover or a plan may have something
+    to say to every machine at once, and sockets that calls take are missing to check-ins. Calls
+    to the addresses in `first` (state service, cloud, peers) wait for nobody."""
+
+    def __init__(
+        self, tasks: anyio.abc.TaskGroup, sockets: int = 128, first: Collection[str] = ()
+    ) -> None:
         self._tasks = tasks
+        self.sockets = sockets
+        self.first = frozenset(first)
+        self.open: set[_Connection] = set()
+        self._opening = 0
+        self._waiting: deque[_Call] = deque()
+        # Idle connections by address; and all of them, the one idle for longest first.
         self._idle: dict[str, list[_Connection]] = {}
+        self._oldest: dict[_Connection, None] = {}
 
     def call(
         self,
@@ -180,10 +194,36 @@
         kept = self._take(address)
         if kept is not None:
             kept.send(call)
+        elif address in self.first:
+            self._start(call)
         else:
-            self._tasks.start_soon(self._open, call)
+            self._waiting.append(call)
+            self._next()
+
+    def _start(self, call: _Call) -> None:
+        self._opening += 1
+        self._tasks.start_soon(self._open, call)
+
+    def _next(self) -> None:
+        """Open connections for calls that wait, as far as sockets are free."""
+        while self._waiting:
+            if self._waiting[0].ended:
+                self._waiting.popleft()
+            elif self._opening + len(self.open) < self.sockets:
+                self._start(self._waiting.popleft())
+            else:
+                if self._oldest:
+                    next(iter(self._oldest)).abort()  # its end calls us again
+                return
 
     async def _open(self, call: _Call) -> None:
+        try:
+            await self._connect(call)
+        finally:
+            self._opening -= 1
+            self._next()
+
+    async def _connect(self, call: _Call) -> None:
         with anyio.CancelScope() as scope:
             call.scope = scope
             try:
@@ -211,6 +251,7 @@
         oldest = time.monotonic() - KEEP_S
         while idle:
             kept = idle.pop()
+            self._oldest.pop(kept, None)
             if kept.used_at > oldest and kept.transport and not kept.transport.is_closing():
                 return kept
             kept.abort()
@@ -218,19 +259,24 @@
 
     def keep(self, connection: _Connection) -> bool:
         idle = self._idle.setdefault(connection.address, [])
-        if len(idle) >= KEEP_MOST:
+        if len(idle) >= KEEP_MOST or (self._waiting and connection.address not in self.first):
             return False
         idle.append(connection)
+        if connection.address not in self.first:
+            self._oldest[connection] = None
         return True
 
     def forget(self, connection: _Connection) -> None:
-        """The other side has closed a connection that may be among the idle ones."""
+        """A connection is closed; it may be among the idle ones."""
+        self.open.discard(connection)
+        self._oldest.pop(connection, None)
         idle = self._idle.get(connection.address)
         if idle is not None:
-            with contextlib.suppress(ValueError):
+            if connection in idle:
                 idle.remove(connection)
             if not idle:
                 del self._idle[connection.address]
+        self._next()
 
     def sweep(self) -> None:
         """Close what has been idle for long: machines come and go, sockets are few."""
--- a/fallpulley/wire/server.py
+++ b/fallpulley/wire/server.py
@@ -27,6 +27,9 @@
 WRITE_S = 10.0  # an answer must be taken within this
 ANSWER_S = 15.0  # the owner always answers well before this
 SWEEP_S = 2.0  # how often overdue connections are looked for
+# Beyond this share of the sockets users' connections end with their answer: a machine that finds
+# no socket loses its lease with all its tasks, a user comes back through the load balancer.
+CROWDED = 0.85
 
 
 class Ticket:
@@ -52,6 +55,7 @@
         self.transport: asyncio.Transport | None = None
         self.due_at = 0.0  # when the connection is overdue, whatever it is at
         self.counted = False  # the limit counts the request in progress
+        self.user = False  # its last request was a user's
         self.ticket: Ticket | None = None
         self._request: h11.Request | None = None
         self._chunks: list[bytes] = []
@@ -64,7 +68,7 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         server = self.server
-        if len(server.open) >= server.sockets:
+        if len(server.open) >= server.sockets and not server.make_room():
             transport.abort()
             return
         server.open.add(self)
@@ -139,7 +143,8 @@
         self.due_at = self._began + ANSWER_S
         self.ticket = ticket = Ticket(self)
         limit = self.server.limit
-        if limit is not None and path.startswith("/work"):
+        self.user = path.startswith("/work")
+        if limit is not None and self.user:
             if not limit.enter():
                 ticket.settle(503, b'{"error":"busy"}', 1.0)
                 return
@@ -157,7 +162,7 @@
         self.ticket = None
         self._uncount()
         try:
-            self._send(status, body, retry_after)
+            self._send(status, body, retry_after, close=self.user and self.server.crowded)
             if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
                 self._close()
                 return
@@ -231,10 +236,27 @@
         self.limit = limit
         self.open: set[Connection] = set()
 
+    @property
+    def crowded(self) -> bool:
+        return len(self.open) > CROWDED * self.sockets
+
+    def make_room(self) -> bool:
+        """Close the user's connection that has been idle for longest; False: there is none."""
+        idle = [c for c in self.open if c.user and c.ticket is None]
+        if not idle:
+            return False
+        first = min(idle, key=lambda connection: connection.due_at)
+        self.open.discard(first)
+        first.abort()
+        return True
+
     async def run(self) -> None:
         host, port = split_address(self.address)
         loop = asyncio.get_running_loop()
-        listener = await loop.create_server(lambda: Connection(self), host, port, backlog=512)
+        # After a restart every machine of the fleet connects at once: they queue here.
+        listener = await loop.create_server(
+            lambda: Connection(self), host, port, backlog=max(512, self.sockets)
+        )
         try:
             while True:
                 await anyio.sleep(SWEEP_S)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -133,3 +133,55 @@
         assert (await client.call(address, "GET", "/up", None, 1.0))[0] == 200
 
     run(story, sockets=3)
+
+
+def test_calls_beyond_the_sockets_wait_and_idle_connections_make_room() -> None:
+    """Pokes to hundreds of machines, each kept for 20 s, took sockets that check-ins needed."""
+
+    async def story(echo: Echo, address: str, client: Caller) -> None:
+        client.client.sockets = 4
+        most = 0
+        answers: list[int | None] = []
+
+        async def call(to: str) -> None:
+            nonlocal most
+            answers.append((await client.call(to, "POST", "/do", b"{}", 2.0))[0])
+            most = max(most, len(client.client.open))
+
+        others = [free_address() for _ in range(3)]
+        async with anyio.create_task_group() as servers:
+            for other in others:
+                servers.start_soon(Server(other, echo.post, 50).run)
+            await anyio.sleep(0.05)
+            for _ in range(2):
+                async with anyio.create_task_group() as tasks:
+                    for to in [address, *others] * 6:
+                        tasks.start_soon(call, to)
+            assert answers == [200] * 48
+            assert most <= 4
+            # The state service waits for nobody: here are no sockets left at all.
+            client.client.sockets = 0
+            client.client.first = frozenset([others[0]])
+            assert (await client.call(others[0], "GET", "/up", None, 1.0))[0] == 200
+            servers.cancel_scope.cancel()
+
+    run(story)
+
+
+def test_a_machine_finds_a_socket_where_idle_users_hold_them_all() -> None:
+    async def story(echo: Echo, address: str, client: Caller) -> None:
+        host, port = address.split(":")
+        users = [await anyio.connect_tcp(host, int(port)) for _ in range(3)]
+        ask = b"GET /work/job-1 HTTP/1.1\r\nHost: a\r\n\r\n"
+        for stream in users:
+            await stream.send(ask)
+            assert b"connection: close" not in (await stream.receive()).lower()
+        machine = await anyio.connect_tcp(host, int(port))
+        assert (await client.call(address, "POST", "/checkin", b"{}", 1.0))[0] == 200
+        # Crowded: whoever still has a connection is answered, and comes again with a new one.
+        await users[-1].send(ask)
+        assert b"connection: close" in (await users[-1].receive()).lower()
+        for stream in [*users, machine]:
+            await stream.aclose()
+
+    run(story, sockets=4)
