--- a/fallpulley/blocks/held.py
+++ b/fallpulley/blocks/held.py
@@ -60,6 +60,7 @@
         self.counter = 0
         self.fencing = 0  # fences under way
         self.touch = False  # a newer stamp of the record is wanted, to raise tokens with
+        self.marks_due = True  # what may hold tasks has changed: the record's marks are to follow
         self.corrections = Corrections()
 
     # -- jobs ------------------------------------------------------------------------------
@@ -112,6 +113,7 @@
         self.record = record
         self.token = stamp
         self.touch = False
+        self.marks_due = True
         for host in list(self.machines):
             if host not in record.machines:
                 machine = self.machines.pop(host)
@@ -135,7 +137,7 @@
         machine.pieces = {}
         machine.reported = []
         machine.slot = None
-        self.dirty = True
+        self.dirty = self.marks_due = True
 
     def stop_broken(self) -> None:
         """What is left of an ensemble that lost a task makes room for all to start anew."""
@@ -209,6 +211,7 @@
             # Perhaps a late copy from before we had it: this renews nothing and proves nothing.
             machine.shift, machine.tick = report.shift, report.tick
             machine.knocked_at = now
+            self.marks_due = True
             return True
         outcome = absorb(machine, report, now, checkin)
         if checkin:
@@ -222,7 +225,7 @@
                 log.info("block settled block=%s term=%d", self.label, self.token)
             self.dirty = True
         if machine.usable != was_usable:
-            self.dirty = True
+            self.dirty = self.marks_due = True
         if machine.recall_at is not None:
             self._recall(machine)
         return True
@@ -252,7 +255,7 @@
     def _note_up(self, machine: Machine, checkin: bool) -> None:
         if checkin:
             if not machine.up:
-                self.dirty = True
+                self.dirty = self.marks_due = True
                 log.info("machine up machine=%s shift=%d", machine.host, machine.shift)
             machine.up = machine.ever_up = True
             machine.heard_at = self.core.now
@@ -468,6 +471,8 @@
                 and machine.entry.addr
                 and not machine.fence_busy
                 and now >= machine.fence_at
+                # It was told our token with the answer to its own report: its next one shows it.
+                and now >= machine.knocked_at + self.core.report_s
                 and self.fencing < FENCES_MOST
             ):
                 machine.fence_busy = True
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -44,6 +44,9 @@
 # what it saves: then up to a fifth of the time is.
 PLAN_SHARE, PLAN_SHARE_LEAST = 20.0, 4.0
 PLAN_REPORTS_MOST = 0.15
+# The record's marks are compared with the machines when something changed that they tell of, and
+# else every so many report intervals: at every tick it took a tenth of a holder's time.
+MARK_REPORTS = 0.5
 # A machine of a block just taken over is answered so often before it must have shown our token.
 KNOCKS_MOST = 3
 # A machine with room waits so long for the next plan to answer its report: without, room that a
@@ -93,6 +96,7 @@
         self._plan_ready_at = float("-inf")
         self._replan_at = float("-inf")
         self._next_tick = float("-inf")
+        self._marks_at = float("-inf")
 
     # -- the batch -------------------------------------------------------------------------
 
@@ -409,11 +413,15 @@
         term = self.leadership.term
         if term is not None:
             self.keeper.tick(term)
+        marks_due = self.core.now >= self._marks_at
+        if marks_due:
+            self._marks_at = self.core.now + MARK_REPORTS * self.core.report_s
         for held in self.held.values():
             held.settle_silent(self.view.fresh_at)
             held.stop_broken()
             self._give_if_deaf(held)
-            self._mark_used(held)
+            if held.marks_due or marks_due:
+                self._mark_used(held)
             if held.unproven:
                 held.fence(self.writer.addresses)
             if held.formers_silent():
@@ -501,6 +509,8 @@
             if used != machine.used:
                 machine.used = used
                 held.dirty = True
+        # A mark on its way counts once the writer has seen it in the record: look again then.
+        held.marks_due = bool(self.writer.marks.get(held.label))
 
     def _poke(self, held: HeldBlock) -> None:
         """Machines with new bookings are asked to report now instead of when it is their turn."""
--- a/fallpulley/fleet/desk.py
+++ b/fallpulley/fleet/desk.py
@@ -18,6 +18,8 @@
 log = logging.getLogger(__name__)
 
 SIZING_S = 1.0  # between two looks at the fleet: far below any boot time
+# What a look took is to be so small a part of the time between two, up to a tenth of a boot time.
+SIZING_SHARE, SIZING_BOOTS = 1 / 50, 0.1
 # A machine that is not up after so many boot times is not counted on; after twice as many
 # it goes back. Some take several times as long, a few never come.
 LATE_BOOTS = 2.0
@@ -54,6 +56,7 @@
         self.writer = writer
         self.keeper = keeper
         self._last: dict[str, float] = {}
+        self._wait_s: dict[str, float] = {}  # from the last look to the next
         self._levels: dict[GroupKey, float] = {}
 
     def tick(self, held: HeldBlock, leading: bool) -> list[Want]:
@@ -63,13 +66,23 @@
             return []
         # A partly filled hire is followed at once by one of the next kind.
         last = self._last.get(held.label, float("-inf"))
-        if now < last + SIZING_S and self.keeper.answered_at <= last:
+        wait_s = self._wait_s.get(held.label, SIZING_S)
+        if now < last + wait_s and self.keeper.answered_at <= last:
             return []
         self._last[held.label] = now
+        began = self.core.clock()
+        wants = self._look(held, leading, min(now - last, wait_s))
+        boot_s = min(kind.startup_s for kind in self.registry.types.values())
+        took_s = min((self.core.clock() - began) / SIZING_SHARE, SIZING_BOOTS * boot_s)
+        self._wait_s[held.label] = max(SIZING_S, took_s)
+        return wants
+
+    def _look(self, held: HeldBlock, leading: bool, since_s: float) -> list[Want]:
+        now = self.core.now
         self._look_over(held)
         if not held.loaded or (held.taken_over and now < held.taken_at + self._known_s(held)):
             return []
-        sizing = self._size(held, min(now - last, SIZING_S))
+        sizing = self._size(held, since_s)
         for host in sizing.returns:
             self._give_up(held, held.machines[host], "idle")
         if leading:
--- a/fallpulley/placement/plan.py
+++ b/fallpulley/placement/plan.py
@@ -196,6 +196,7 @@
                 ends.append((profile.next_change(), number))
         ends.sort()
         self.ends = ends
+        self.plain_ends: list[tuple[float, int]] | None = None  # those of ordinary machines
         self.fetch_free: dict[int, float] = {}
         self.fetching: dict[tuple[int, str], float] = {}
         self.later_left = max(1, int(LATER_PER_MACHINE * len(slots)))
@@ -262,7 +263,7 @@
         heap = [entry for number in allowed if (entry := self.candidate(job, number))]
         heapq.heapify(heap)
         looked = set(allowed)
-        rest = self._rest(looked) if self.later_left > 0 else []
+        rest = self._rest(looked, job.spot_ok) if self.later_left > 0 else []
         pointer = 0
         grain = max(job.estimate_s * SAME_FINISH, 1e-3)
         first = len(plan.starts)
@@ -318,12 +319,22 @@
         c, g, m = need
         return any(c >= full[0] and g >= full[1] and m >= full[2] for full in self.no_room)
 
-    def _rest(self, looked: set[int]) -> list[tuple[float, int]]:
+    def _rest(self, looked: set[int], spot_ok: bool) -> list[tuple[float, int]]:
         """The machines without room now for a job, by when they get any. One that has some room,
-        but not enough, is like the others: more comes with its next change, not before."""
-        profiles = self.profiles
-        partly = [(profiles[n].next_change(), n) for n in self.roomy if n not in looked]
-        return sorted(partly + self.ends) if partly else self.ends
+        but not enough, is like the others: more comes with its next change, not before. Jobs that
+        may not use spot machines look at the others alone: a tenth of some fleets."""
+        profiles, slots = self.profiles, self.slots
+        ends = self.ends
+        if not spot_ok:
+            if self.plain_ends is None:
+                self.plain_ends = [entry for entry in ends if not slots[entry[1]].spot]
+            ends = self.plain_ends
+        partly = [
+            (profiles[n].next_change(), n)
+            for n in self.roomy
+            if n not in looked and (spot_ok or not slots[n].spot)
+        ]
+        return sorted(partly + ends) if partly else ends
 
     def shrink(self, least: Need) -> bool:
         """Forget machines without room now for anything that is left; False: none has any."""
@@ -340,6 +351,7 @@
         if len(kept) != len(self.roomy):
             self.roomy = kept
             self.ends.sort()
+            self.plain_ends = None
         return bool(kept)
 
 
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -22,6 +22,7 @@
     Plan,
     Slot,
     Waiting,
+    eligible,
     kinds_of,
     make_plan,
     queue_order,
@@ -314,7 +315,12 @@
     for booking in plan.starts:
         need, (cpus, cards, mem) = held.jobs[booking.job].need, room[booking.host]
         room[booking.host] = (cpus - need[0], cards - need[1], mem - need[2])
-    victims = {slot.host: _victims(held, core, slot.host) for slot in slots}
+    # Only where one of the late jobs may run: most of a fleet may be closed to an urgent class.
+    victims = {
+        slot.host: _victims(held, core, slot.host)
+        for slot in slots
+        if any(eligible(entry, slot) for entry, _ in late)
+    }
     stops: list[Stop] = []
     for entry, count in late:
         stops += choose_victims(entry, count, slots, room, victims, core.now)
--- a/fallpulley/wire/client.py
+++ b/fallpulley/wire/client.py
@@ -11,6 +11,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Collection
+from functools import lru_cache
 
 import anyio
 import anyio.abc
@@ -23,6 +24,19 @@
 KEEP_S = 20.0  # a connection idle for longer is not used again
 KEEP_MOST = 6  # idle connections kept for one address
 ANSWER_MOST = 64 * 1024 * 1024  # of an answer's body: nobody we talk to sends as much
+HEADS_KEPT = 512  # of requests, by address and length
+
+_END = h11.EndOfMessage()
+
+
+@lru_cache(HEADS_KEPT)
+def request_head(address: str, length: int) -> h11.Request:
+    """A request whose headers others of the same length take over: h11 has checked them once."""
+    headers = [("Host", address), ("Content-Length", str(length))]
+    if length:
+        headers.append(("Content-Type", "application/json"))
+    return h11.Request(method="GET", target="/", headers=headers)
+
 
 # Status and body, or (None, b"") when no answer came: the outcome is unknown.
 Answered = Callable[[int | None, bytes], None]
@@ -176,15 +190,13 @@
         answered: Answered,
     ) -> None:
         """Carry out a call; `answered` is called once, never before this returns."""
-        headers = [("Host", address), ("Content-Length", str(len(body or b"")))]
-        if body:
-            headers.append(("Content-Type", "application/json"))
         loop = asyncio.get_running_loop()
         try:
+            headers = request_head(address, len(body or b"")).headers
             wire: list[h11.Event] = [h11.Request(method=method, target=path, headers=headers)]
             if body:
                 wire.append(h11.Data(data=body))
-            wire.append(h11.EndOfMessage())
+            wire.append(_END)
         except h11.ProtocolError:
             log.exception("call cannot be sent address=%s path=%s", address, path)
             loop.call_soon(answered, None, b"")
--- a/fallpulley/wire/server.py
+++ b/fallpulley/wire/server.py
@@ -11,6 +11,7 @@
 import logging
 import time
 from collections.abc import Callable
+from functools import lru_cache
 
 import anyio
 import h11
@@ -30,6 +31,26 @@
 # Beyond this share of the sockets users' connections end with their answer: a machine that finds
 # no socket loses its lease with all its tasks, a user comes back through the load balancer.
 CROWDED = 0.85
+# Heads of answers that are kept: statuses with the lengths that occur, most of them a few bytes.
+HEADS_KEPT = 512
+
+_END = h11.EndOfMessage()
+
+
+@lru_cache(HEADS_KEPT)
+def answer_head(
+    status: int, length: int, retry_after: float | None = None, close: bool = False
+) -> h11.Response:
+    """An answer's head. h11 checks every header of a head it is given; hundreds of answers a
+    second have the same few, and checking them anew was a third of the time of sending."""
+    headers = [("Content-Length", str(length))]
+    if length:
+        headers.append(("Content-Type", "application/json"))
+    if retry_after is not None:
+        headers.append(("Retry-After", str(max(1, round(retry_after)))))
+    if close:
+        headers.append(("Connection", "close"))
+    return h11.Response(status_code=status, headers=headers)
 
 
 class Ticket:
@@ -180,18 +201,11 @@
         transport = self.transport
         if transport is None:
             return
-        headers = [("Content-Length", str(len(body)))]
-        if body:
-            headers.append(("Content-Type", "application/json"))
-        if retry_after is not None:
-            headers.append(("Retry-After", str(max(1, round(retry_after)))))
-        if close:
-            headers.append(("Connection", "close"))
         http = self.http
-        out = http.send(h11.Response(status_code=status, headers=headers)) or b""
+        out = http.send(answer_head(status, len(body), retry_after, close)) or b""
         if body:
             out += http.send(h11.Data(data=body)) or b""
-        transport.write(out + (http.send(h11.EndOfMessage()) or b""))
+        transport.write(out + (http.send(_END) or b""))
         self.due_at = time.monotonic() + IDLE_S
 
     # -- ends ------------------------------------------------------------------------------
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,6 +11,7 @@
     Slot,
     Waiting,
     _Planner,
+    eligible,
     kinds_of,
     make_plan,
     queue_order,
@@ -173,3 +174,24 @@
     few = len(looks)
     make_plan(jobs, full, 0.0)
     assert 0 < few == len(looks) - few
+
+
+def test_a_job_closed_to_spot_machines_does_not_look_at_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Nine tenths of a fleet were asked whether they may run each urgent job, in every plan.
+    busy = [(9.0, 8.0, 0.0, 32.0)]
+    spots = [slot(f"s{n}", spot=True, running=busy) for n in range(90)]
+    plain = [slot(f"p{n}", running=busy) for n in range(10)]
+    looks = 0
+
+    def counted(job: Waiting, at: Slot) -> bool:
+        nonlocal looks
+        looks += 1
+        return eligible(job, at)
+
+    monkeypatch.setattr("fallpulley.placement.plan.eligible", counted)
+    jobs = [waiting(f"j{n}", spot_ok=False, rank=2) for n in range(5)]
+    plan = make_plan(jobs, spots + plain, 0.0)
+    assert plan.booked_later == 5
+    assert looks <= 5 * len(plain)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,7 @@
 from fallpulley.effects import Request
 from fallpulley.wire.client import Client
 from fallpulley.wire.limit import AdaptiveLimit
-from fallpulley.wire.server import Server
+from fallpulley.wire.server import Server, answer_head
 
 
 def free_address() -> str:
@@ -185,3 +185,12 @@
             await stream.aclose()
 
     run(story, sockets=4)
+
+
+def test_heads_that_repeat_are_checked_once() -> None:
+    # Hundreds of answers a second share a few heads; h11 checks each header of every new one.
+    answer_head.cache_clear()
+    heads = {id(answer_head(200, 24)) for _ in range(50)}
+    assert len(heads) == 1 and answer_head.cache_info().misses == 1
+    assert answer_head(503, 24, 1.0) is not answer_head(200, 24)
+    assert (b"retry-after", b"1") in list(answer_head(503, 24, 0.2).headers)
