--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -55,6 +55,7 @@
     changed on the machine or one of its tasks should have ended: hundreds of machines stay the
     same from one plan to the next."""
     slots = []
+    estimates: dict[str, float] = {}
     for machine in held.machines.values():
         if not machine.usable or not machine.used or now < machine.refuse_until:
             continue
@@ -66,13 +67,17 @@
                 for name, piece in machine.pieces.items()
             ):
                 continue  # holds something whose size we do not know, until it is stopped
-            slot = machine.slot = _slot(held, machine, kind, now)
+            slot = machine.slot = _slot(held, machine, kind, estimates, now)
         slots.append(slot)
     return slots
 
 
-def _slot(held: HeldBlock, machine: Machine, kind: MachineType, now: float) -> Slot:
+def _slot(
+    held: HeldBlock, machine: Machine, kind: MachineType, estimates: dict[str, float], now: float
+) -> Slot:
+    """`estimates`: those of the jobs met in this plan so far; a job has tasks on many machines."""
     running = []
+    slowness = machine.slowness
     until = math.inf
     fetch_free = now
     images = dict.fromkeys(machine.images, 0.0)
@@ -81,7 +86,13 @@
         fetch_free = max(fetch_free, images[image])
     for run in machine.runs.values():
         job = held.jobs.get(run.job)
-        estimate = held.estimate(job) * machine.slowness if job else run.estimate_s
+        if job is None:
+            estimate = run.estimate_s
+        else:
+            known = estimates.get(run.job)
+            if known is None:
+                known = estimates[run.job] = held.estimate(job)
+            estimate = known * slowness
         if run.running_at is not None:
             left = left_of(estimate, now - run.running_at)
         else:
@@ -98,7 +109,7 @@
         machine.entry.spot,
         size_of(kind),
         max(kind.fetch_gb_per_s, 1e-3),
-        machine.slowness,
+        slowness,
         running,
         images,
         fetch_free,
--- a/fallpulley/workers/machine.py
+++ b/fallpulley/workers/machine.py
@@ -105,9 +105,10 @@
     @property
     def slowness(self) -> float:
         """Run times here over estimates. Tasks of a job differ far more than machines do, so
-        only a clear and repeated difference counts: that of a faulty machine."""
+        only a clear and repeated difference counts: that of a faulty machine. In tenths, or each
+        slow machine would be of a kind of its own to every job's list schedule."""
         ratio = math.exp(self.speed_log / (self.speed_seen + SPEED_PRIOR))
-        return ratio if ratio > CLEARLY_SLOW else 1.0
+        return round(ratio, 1) if ratio > CLEARLY_SLOW else 1.0
 
     def learn_speed(self, ratio: float) -> None:
         self.speed_seen = min(self.speed_seen + 1, SPEED_SPAN)
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -4,7 +4,11 @@
 
 import pytest
 
+from fallpulley.blocks.held import HeldBlock
+from fallpulley.blocks.messages import MachineEntry
 from fallpulley.controller import Controller
+from fallpulley.placement.queue import slots_of
+from fallpulley.workers.machine import Machine
 from tests.test_stories import busy
 
 
@@ -31,3 +35,31 @@
     world.run(10.0)
     assert len(world.running(uid)) == 4
     assert ticks > 30 and looks <= ticks / 5
+
+
+def test_a_plan_estimates_a_job_once_not_once_for_each_running_task(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    world, uid = busy(pieces=4, seconds=60.0, expect_s=60.0)
+    controller = world.controllers[world.holder()]
+    (held,) = controller.held.values()
+    asked: list[str] = []
+    estimate = held.estimate
+    monkeypatch.setattr(
+        HeldBlock, "estimate", lambda self, job: asked.append(job.job) or estimate(job)
+    )
+    for machine in held.machines.values():
+        machine.slot = None
+    slots = slots_of(held, controller.registry.types, world.now)
+    assert sum(len(slot.running) for slot in slots) == 4
+    assert asked == [uid]
+
+
+def test_slow_machines_are_of_few_kinds() -> None:
+    kinds = set()
+    for number in range(40):
+        machine = Machine(f"m{number}", MachineEntry("", "box", "a", False), 1, 0.0)
+        for _ in range(12):
+            machine.learn_speed(2.0 + number / 400)
+        kinds.add(machine.slowness)
+    assert len(kinds) <= 2
