--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -326,25 +326,41 @@
     for booking in plan.starts:
         need, (cpus, cards, mem) = held.jobs[booking.job].need, room[booking.host]
         room[booking.host] = (cpus - need[0], cards - need[1], mem - need[2])
-    # Only where one of the late jobs may run: most of a fleet may be closed to an urgent class.
-    victims = {
-        slot.host: _victims(held, core, slot.host)
-        for slot in slots
-        if any(eligible(entry, slot) for entry, _ in late)
-    }
+    # Only where one of the late jobs may run and something can make room for it: most of a fleet
+    # may be closed to an urgent class, and the rest of it full of that class's own tasks.
+    spot_ok = any(entry.spot_ok for entry, _ in late)
+    rank = max(entry.rank for entry, _ in late)
+    victims: dict[str, list[Victim]] = {}
+    offering: list[Slot] = []
+    for slot in slots:
+        if (slot.spot and not spot_ok) or not any(eligible(entry, slot) for entry, _ in late):
+            continue
+        found = _victims(held, core, slot.host, rank)
+        if found or any(_fits(entry.need, room[slot.host]) for entry, _ in late):
+            victims[slot.host] = found
+            offering.append(slot)
     stops: list[Stop] = []
     for entry, count in late:
-        stops += choose_victims(entry, count, slots, room, victims, core.now)
+        if not offering:
+            break
+        stops += choose_victims(entry, count, offering, room, victims, core.now)
     return stops
 
 
-def _victims(held: HeldBlock, core: Core, host: str) -> list[Victim]:
+def _fits(need: Need, room: Need) -> bool:
+    return all(n <= r + 1e-6 for n, r in zip(need, room, strict=True))
+
+
+def _victims(held: HeldBlock, core: Core, host: str, below: int) -> list[Victim]:
+    """The tasks of a lower rank on a machine, those whose stop loses least for their room first."""
     found = []
     now = core.now
     for run in held.machines[host].runs.values():
         job = held.jobs.get(run.job)
         if job is None or run.stopping is not None or not run.seen or run.stage == SAVING:
             continue
+        if RANKS[job.spec.rank] >= below:
+            continue
         if len(job.runs) <= first_tasks(job, core):
             continue  # it has waited for long enough
         ran = now - run.running_at if run.running_at is not None else 0.0
