--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -5,9 +5,10 @@
 import base64
 import pathlib
 
+import msgspec
 import pytest
 
-from fallpulley.blocks.shares import blocks_wanted, target_sizes
+from fallpulley.blocks.shares import blocks_wanted, machines_per_block, target_sizes
 from fallpulley.cli import main
 from fallpulley.effects import Call
 from fallpulley.fleet.messages import MachineType
@@ -18,7 +19,7 @@
 from fallpulley.state.lane import Change, Lane, Order, Write
 from fallpulley.wire.limit import AdaptiveLimit
 from fallpulley.workers.machine import Run
-from tests.world import job
+from tests.world import job, settings
 
 GOOD = """
 label = "n0"
@@ -67,6 +68,21 @@
     assert main(["check-config", str(tmp_path / "absent")]) == 3
 
 
+def test_one_block_for_as_many_machines_as_a_holder_was_measured_to_carry() -> None:
+    # A second block, opened at 600 machines on 9% of a core, changed hands with every controller
+    # that came back, each time in doubt until a window and a lease were over.
+    def carried(share: float, report_s: float) -> int:
+        facts = settings("node-0").facts
+        limits = msgspec.structs.replace(facts.machine_limits, core_share=share)
+        workers = msgspec.structs.replace(facts.workers, report_s=report_s)
+        facts = msgspec.structs.replace(facts, machine_limits=limits, workers=workers)
+        return machines_per_block(facts)
+
+    assert carried(0.09, 4.0) >= 949
+    assert carried(0.162, 1.5) >= 512
+    assert carried(0.01, 1.5) < 100  # a holder that can carry few still gets no more
+
+
 def test_a_machine_too_small_is_warned_of_with_the_figure_needed(
     tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
