--- a/fallpulley/blocks/held.py
+++ b/fallpulley/blocks/held.py
@@ -100,6 +100,15 @@
                 cards += job.need[1] * len(job.runs)
         return cpus, cards
 
+    def strangers(self) -> bool:
+        """A machine has tasks that no open job of ours accounts for: of a job that has ended,
+        most likely, whose record no longer says what they take, or for whom."""
+        return any(
+            piece.stage != ENDED and name not in machine.runs
+            for machine in self.machines.values()
+            for name, piece in machine.pieces.items()
+        )
+
     def estimate(self, job: OpenJob) -> float:
         if job.spec.shape == SERVICE:
             return SERVICE_LEASES * self.core.lease_s
@@ -163,7 +172,13 @@
             # A check-in that is about to be answered counts as answered: its reply goes out
             # after this look, and renews the lease.
             last = max(machine.replied_at, machine.heard_at)
-            if machine.up and min(now, fresh_at) > last + self.core.lease_over_s:
+            if not machine.up and machine.runs:
+                # Its tasks are known from answers of `/do` alone, which renew no lease; a former
+                # holder's answers may have.
+                last = max(last, self.empty_at - self.core.lease_over_s)
+            elif not machine.up:
+                continue
+            if min(now, fresh_at) > last + self.core.lease_over_s:
                 log.info("machine silent machine=%s", machine.host)
                 machine.up = False
                 machine.images.clear()
--- a/fallpulley/blocks/writer.py
+++ b/fallpulley/blocks/writer.py
@@ -65,6 +65,14 @@
         machine = entry[0].machines.get(host)
         return machine is not None and machine.used
 
+    def leaving(self, block: str, host: str) -> bool:
+        """The machine is on its way out of the block, or a write may still move it."""
+        return (
+            host in self.removing.get(block, ())
+            or host in self.handing.get(block, ())
+            or block in self._unsure
+        )
+
     def drop_block(self, block: str) -> None:
         """The block is no longer ours."""
         self.removing.pop(block, None)
@@ -154,9 +162,10 @@
         def written(status: int | None, ledger: int) -> None:
             if status is None:
                 self._unsure.add(label)
-            elif status in (200, 409):
+            elif status == 200:
                 self._unsure.discard(label)
-            if status == 200:
+                # A conflict settles nothing: it may be our own late write that got through, and
+                # our copy of the record may be from before it.
                 self._seen_from[label] = ledger
                 self.touching.discard(label)
             # What is wished within a part of a report interval goes out together: a record of
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -352,7 +352,9 @@
             if waits and self.core.now < until and machine.usable and not machine.full:
                 self._checkins.append(entry)
                 continue
-            if self.held.get(held.label) is not held or machine.host not in held.machines:
+            gone = self.held.get(held.label) is not held or machine.host not in held.machines
+            if gone or not self.serving():
+                # Looked at again: one that waited for the plan may have outlived the window.
                 self.core.answer(ticket, 503, b"", 1.0)
                 continue
             if machine.host in held.unproven and not machine.settled:
@@ -364,9 +366,13 @@
                     continue
                 machine.knocks += 1
             orders: list[Order] = []
-            if newer and machine.settled:
+            if machine.settled:
+                # Also when an answer of `/do` has overtaken the report: the reply renews the
+                # lease, so it carries what is to stop.
                 orders = held.orders(machine)
-                if machine.usable and machine.used and self.view.ready:
+                # The mark by the newest copy of the record, not by the last look over all marks.
+                used = machine.used and self.writer.used(held.label, machine.host)
+                if newer and machine.usable and used and self.view.ready:
                     orders += self._runs(held, machine)
             machine.replied_at = self.core.now
             body = msgspec.json.encode(Orders(machine.token, orders))
@@ -505,6 +511,9 @@
                 self.writer.mark(held.label, host, True)
             elif not may_hold and wished and machine.got_at < self.core.now:
                 self.writer.mark(held.label, host, False)
+            if machine.leaving and not self.writer.leaving(held.label, host):
+                machine.leaving = False  # its move was called off
+                held.dirty = True
             used = self.writer.used(held.label, host)
             if used != machine.used:
                 machine.used = used
--- a/fallpulley/jobs/desk.py
+++ b/fallpulley/jobs/desk.py
@@ -22,6 +22,7 @@
     JobRecord,
     Stage,
     Submission,
+    named_job,
     parse_submission,
 )
 from fallpulley.settings import Team
@@ -143,7 +144,13 @@
         spec = parse_submission(body)
         if isinstance(spec, str):
             log.info("submission malformed why=%s", spec)
-            self._reject(ticket, 400, spec)
+            uid = named_job(body)
+            if uid is None:
+                self._reject(ticket, 400, spec)
+            elif uid in self.known:
+                self.query(ticket, uid)
+            else:
+                self._reject_unless_known(ticket, uid, spec, 400)
             return
         known = self.known.get(spec.uid)
         if known is not None:
@@ -162,15 +169,15 @@
             return
         self._accept(ticket, spec, block)
 
-    def _reject_unless_known(self, ticket: Any, job: str, why: str) -> None:
-        """An accepted job never gets 422, whatever has changed since."""
+    def _reject_unless_known(self, ticket: Any, job: str, why: str, status: int = 422) -> None:
+        """An accepted job never gets 400 or 422, whatever a repeat of it holds."""
 
         def current(ok: bool) -> None:
             found = self.known.get(job)
-            if found is not None:
+            if found is not None and (ok or found.stage in FINAL):
                 self._answer_stage(ticket, job, found)
             elif ok:
-                self._reject(ticket, 422, why)
+                self._reject(ticket, status, why)
             else:
                 self._refuse(ticket, "state service out of reach")
 
--- a/fallpulley/jobs/messages.py
+++ b/fallpulley/jobs/messages.py
@@ -90,6 +90,19 @@
     return found
 
 
+class _Named(msgspec.Struct):
+    uid: Text
+
+
+def named_job(body: bytes) -> str | None:
+    """The job that a malformed submission names: it may be a repeat of one that was accepted."""
+    try:
+        uid = msgspec.json.decode(body, type=_Named).uid
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+    return uid if JOB_ID.fullmatch(uid) else None
+
+
 def piece_name(job: str, index: int) -> str:
     return f"{job}/{index}"
 
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -124,12 +124,14 @@
     now, wall_ms = core.now, core.wall * 1000
     found: list[Waiting] = []
     kinds = kinds_of(slots)
+    # Tasks that we cannot see, or cannot ascribe to a team, may use up a limit.
+    unclear = bool(held.unproven) or not held.loaded or held.strangers()
     for job in held.jobs.values():
         if job.withdrawn or job.finished or now < job.retry_at or held.doubtful(job):
             continue
         team = teams.get(job.spec.crew)
-        if team is not None and team.limited and (held.unproven or not held.loaded):
-            continue  # tasks we cannot see may use up the limit
+        if team is not None and team.limited and unclear:
+            continue
         tasks = job.waiting_count()
         if not tasks or job.broken:
             continue
@@ -140,6 +142,8 @@
             first = min(first, tasks) if not entry.together else tasks
             found.append(msgspec.structs.replace(entry, tasks=first, starved=True))
             entry.tasks -= first
+            if job.spec.one_zone or job.spec.apart:
+                continue  # booked in two parts, each would keep its bond without the other
         found.append(entry)
     _mark_late(found, held, core, LATE_ROOM * sum(slot.size[0] for slot in slots))
     found.sort(key=queue_order)
@@ -171,6 +175,9 @@
         job.remaining_key = key
         job.remaining_s = remaining_time(job.need, estimate, left, kinds)
     waited = (wall_ms - job.record.at_ms) / 1000
+    avoid = job.failed_on or None
+    if avoid is not None and avoid >= held.machines.keys():
+        avoid = None  # it failed on all there are: closed to it, they would stand idle beside it
     zone, zone_room = spec.hall, None
     if spec.one_zone and job.runs:
         run = next(iter(job.runs.values()))
@@ -197,7 +204,7 @@
         zone,
         zone_room,
         spec.one_zone,
-        job.failed_on or None,
+        avoid,
         spec.shape == ENSEMBLE and not job.runs,
     )
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -34,6 +34,8 @@
     "halls": ["a", "b"],
 }
 
+TEAMS: list[dict[str, Any]] = [{"name": "crew"}, {"name": "small", "cpus_max": 8.0}]
+
 
 def settings(label: str, **facts: Any) -> Settings:
     table = {
@@ -50,7 +52,7 @@
         "facts": {
             "nodes": 3,
             "zones": ["a", "b"],
-            "teams": [{"name": "crew"}, {"name": "small", "cpus_max": 8.0}],
+            "teams": TEAMS,
             "workers": {"report_s": 1.0, "lease_s": 8.0, "cancel_s": 30.0},
             "state": {"rps": 200.0, "write_rps": 90.0, "value_kb": 16.0, "txn_ops": 16},
             "cloud": {"rps": 10.0, "list_lag_s": 1.0},
@@ -325,6 +327,13 @@
         self.cloud_down = False
         self.deaf: set[str] = set()  # hosts whose reports arrive, but nothing reaches them
         self.sent: dict[str, list[bytes]] = {}  # host -> bodies of its check-ins
+        self.mute: set[str] = set()  # hosts whose reports arrive nowhere, though commands do
+        self.no_direct: set[str] = set()  # hosts that direct commands do not reach
+        self.refused: set[str] = set()  # controllers that the state service answers with 503
+        # Transactions of these controllers get no answer, and are carried out so much later.
+        self.unanswered: dict[str, float] = {}
+        self.slow_s = 0.0  # the state service's answers take so much longer
+        self.specs: dict[str, dict[str, Any]] = {}  # of every submission
         self._vm = 0
         for at in range(machines):
             self.machine("ab"[at % 2], spot=False)
@@ -369,7 +378,19 @@
         for other in self.workers.values():
             if other is not worker and piece in other.on_machine():
                 self.broken.append(f"{self.now:.2f} {piece} on {other.host} and {worker.host}")
-        told = self.cancelled_at.get(piece.partition("/")[0])
+        uid = piece.partition("/")[0]
+        spec = self.specs.get(uid, {})
+        rest = [
+            other.zone
+            for other in self.workers.values()
+            for name in other.on_machine()
+            if name.startswith(uid + "/") and name != piece
+        ]
+        if spec.get("one_zone") and any(zone != worker.zone for zone in rest):
+            self.broken.append(f"{self.now:.2f} {piece} starts in {worker.zone}, others in {rest}")
+        if spec.get("apart") and rest.count(worker.zone) + 1 > (spec["pieces"] + 1) // 2:
+            self.broken.append(f"{self.now:.2f} {piece} is one too many in {worker.zone}")
+        told = self.cancelled_at.get(uid)
         if told is not None and self.now > told + 30.0:
             self.broken.append(f"{self.now:.2f} {piece} starts after its cancel")
 
@@ -388,13 +409,15 @@
 
         if label not in self.controllers:
             worker.turn(1.0)
-        elif not self.blocked(worker.host, label):
+        elif not self.blocked(worker.host, label) and worker.host not in self.mute:
             self.commands[label].append(Request(settle, "POST", "/checkin", body))
 
     def ask(self, label: str, method: str, path: str, body: Any = None) -> list[Any]:
         """Send a user's request; the returned list gets status, body and Retry-After."""
         found: list[Any] = []
         data = body if isinstance(body, bytes) else json.dumps(body).encode() if body else b""
+        if path == "/work" and isinstance(body, dict):
+            self.specs.setdefault(str(body.get("uid")), body)
 
         def settle(status: int, answer: bytes, retry: float | None) -> None:
             found.extend([status, json.loads(answer) if answer else None, retry])
@@ -424,9 +447,22 @@
                 self.later.append((self.now + call.timeout_s, lambda: back(None, b"")))
             elif call.path.startswith("/changes") and not self.state.down:
                 self._watch(label, call, back)
+            elif label in self.refused:
+                self.later.append((self.now + STEP, lambda: back(503, b"")))
+            elif call.path == "/txn" and label in self.unanswered:
+                self.later.append((self.now + call.timeout_s, lambda: back(None, b"")))
+                late_s = self.unanswered[label]
+                if late_s <= 0:
+                    self.state.handle(call.method, call.path, call.body, self.now)
+                else:
+                    self.later.append((self.now + late_s, lambda: self._carry_out(call)))
             else:
                 status, answer = self.state.handle(call.method, call.path, call.body, self.now)
-                self.later.append((self.now + STEP, lambda: back(status, _json(answer))))
+                wait_s = STEP + self.slow_s
+                if wait_s > call.timeout_s:
+                    self.later.append((self.now + call.timeout_s, lambda: back(None, b"")))
+                else:
+                    self.later.append((self.now + wait_s, lambda: back(status, _json(answer))))
         elif call.address == CLOUD:
             status, answer = self._cloud(call)
             self.later.append((self.now + STEP, lambda: back(status, _json(answer))))
@@ -437,6 +473,9 @@
         else:
             self._to_worker(label, call, back)
 
+    def _carry_out(self, call: Call) -> None:
+        self.state.handle(call.method, call.path, call.body, self.now)
+
     def _watch(self, label: str, call: Call, back: Callable[[int | None, bytes], None]) -> None:
         query = call.path.partition("?")[2]
         args = dict(part.partition("=")[::2] for part in query.split("&"))
@@ -444,10 +483,14 @@
         until = self.now + int(args["hold_ms"]) / 1000
 
         def look() -> None:
-            if self.state.down and self.now < until:
+            if self.blocked(label, "state"):
+                self.later.append((self.now + call.timeout_s, lambda: back(None, b"")))
+                return
+            away = self.state.down or label in self.refused
+            if away and self.now < until:
                 self.later.append((self.now + STEP, look))
                 return
-            if self.state.down:
+            if away:
                 back(503, b"")
                 return
             news = self.state.news(args["under"], int(args["after"]))
@@ -456,11 +499,11 @@
             else:
                 self.later.append((self.now + STEP, look))
 
-        self.later.append((self.now + STEP, look))
+        self.later.append((self.now + STEP + self.slow_s, look))
 
     def _to_worker(self, label: str, call: Call, back: Callable[[int | None, bytes], None]) -> None:
         worker = next((w for w in self.workers.values() if w.addr == call.address), None)
-        gone = worker is None or worker.hung or worker.host in self.deaf
+        gone = worker is None or worker.hung or worker.host in self.deaf | self.no_direct
         if worker is None or gone or self.blocked(worker.host, label):
             self.later.append((self.now + call.timeout_s, lambda: back(None, b"")))
             return
@@ -525,8 +568,24 @@
                 for name in worker.on_machine()
             ):
                 self.broken.append(f"{self.now:.2f} {told} still runs after its cancel")
+        self._watch_limits()
         assert not self.broken, self.broken
 
+    def _watch_limits(self) -> None:
+        """No team's tasks use more than its limit."""
+        for limited in self.facts.get("teams", TEAMS):
+            most = limited.get("cpus_max", 0.0)
+            if not most:
+                continue
+            used = 0.0
+            for worker in self.workers.values():
+                for name in worker.on_machine():
+                    spec = self.specs.get(name.partition("/")[0])
+                    if spec is not None and spec["crew"] == limited["name"]:
+                        used += spec["cpus"]
+            if used > most + 1e-6:
+                self.broken.append(f"{self.now:.2f} {limited['name']} uses {used} of {most}")
+
     def run(self, seconds: float) -> None:
         for _ in range(round(seconds / STEP)):
             self.step()
