--- a/fallpulley/blocks/held.py
+++ b/fallpulley/blocks/held.py
@@ -16,6 +16,7 @@
 from fallpulley.core import DRIFT, Core
 from fallpulley.jobs.messages import ENSEMBLE, SERVICE, JobRecord, split_piece
 from fallpulley.jobs.open import OpenJob
+from fallpulley.jobs.pipelines import Node
 from fallpulley.placement.estimate import Corrections, run_estimate
 from fallpulley.placement.plan import Booking
 from fallpulley.workers.machine import Machine, Outcome, Run, absorb
@@ -65,10 +66,11 @@
 
     # -- jobs ------------------------------------------------------------------------------
 
-    def add_job(self, job: str, record: JobRecord, stamp: int) -> None:
+    def add_job(self, job: str, record: JobRecord, stamp: int, node: Node | None) -> None:
+        """`node`: its place in a pipeline, if it has one."""
         if record.spec is None:
             return
-        self.jobs[job] = OpenJob(job, record, record.spec, stamp)
+        self.jobs[job] = OpenJob(job, record, record.spec, stamp, node)
         self.dirty = True
 
     def doubtful(self, job: OpenJob) -> bool:
--- a/fallpulley/blocks/leadership.py
+++ b/fallpulley/blocks/leadership.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from fallpulley.blocks.messages import BlockRecord, Session
-from fallpulley.blocks.registry import BLOCKS, LEADER, SESSIONS, Registry
+from fallpulley.blocks.messages import NEWER_FORMAT, BlockRecord, FormatMark, Session
+from fallpulley.blocks.registry import BLOCKS, FORMAT, LEADER, SESSIONS, Registry
 from fallpulley.blocks.session import SessionKeeper
-from fallpulley.blocks.shares import FULL_RECORDS, blocks_wanted, machines_per_block, record_bytes
+from fallpulley.blocks.shares import FULL_RECORDS, blocks_wanted, machines_per_block
 from fallpulley.core import Core
 from fallpulley.state.lane import Change, Order, Write
 from fallpulley.state.view import View
@@ -32,7 +32,6 @@
         self.registry = registry
         self.session = session
         self.per_block = machines_per_block(core.settings.facts)
-        self.full_bytes = FULL_RECORDS * record_bytes(core.settings.facts)
         self._labels = sorted({core.label, *(seed.label for seed in core.settings.seeds)})
         self._busy: dict[str, float] = {}
         self._spare_since: tuple[str, float] | None = None
@@ -60,6 +59,8 @@
                 self._take(label, record, stamp)
         if leading:
             self._open_wanted()
+            if not self.core.newer_format:
+                self._mark_format()
         self._hand_back()
 
     def _open_wanted(self) -> None:
@@ -72,12 +73,35 @@
             if label is not None and label not in blocks:
                 self._open(label, label)
                 return
-        if blocks and all(self.registry.filled[label] > self.full_bytes for label in blocks):
+        full_bytes = FULL_RECORDS * self.core.value_bytes
+        if blocks and all(self.registry.filled[label] > full_bytes for label in blocks):
             # However few controllers there are, the records must hold all machines.
             more = (f"{self.core.label}.{number}" for number in itertools.count(2))
             names = itertools.chain(self._labels, more)
             self._open(next(name for name in names if name not in blocks), self.core.label)
 
+    def _mark_format(self) -> None:
+        """All controllers have been seen with a process that knows the newer format: none comes
+        back with an older one, so from here on records may be written in it. There is no way
+        back; nothing waits for it."""
+        known = self.registry.formats
+        all_know = all(known.get(label, 0) >= NEWER_FORMAT for label in self._labels)
+        if not all_know or len(self._labels) < self.core.settings.facts.nodes:
+            return
+        if not self._guard(FORMAT):
+            return
+        log.info("records every controller knows the newer format")
+        self.core.lane.write(
+            Write(
+                {FORMAT: self.view.stamp(FORMAT)},
+                [Change(FORMAT, msgspec.json.encode(FormatMark(NEWER_FORMAT)))],
+                lambda status, ledger: self._done(FORMAT, f"format {status}"),
+                Order.ACCEPT,
+                alone=True,
+                expires_at=self.core.now + 0.9,
+            )
+        )
+
     def _without_block(self) -> str | None:
         """A live controller that holds no block, ourselves first."""
         holders = {record.holder for record, _ in self.registry.blocks.values()}
@@ -112,7 +136,7 @@
         log.info("block given block=%s to=%s", label, to)
         conditions = {key: stamp, SESSIONS + to: session_stamp}
         formers = self.registry.formers(record, self.core.label, self.core.boot)
-        value = BlockRecord(to, session.boot, record.machines, formers).encode()
+        value = self._encode(BlockRecord(to, session.boot, record.machines, formers))
         self._write(key, conditions, value)
 
     def _guard(self, key: str) -> bool:
@@ -130,7 +154,7 @@
     def _lead(self) -> None:
         if not self._guard(LEADER):
             return
-        value = msgspec.json.encode(Session(self.core.label, self.core.boot))
+        value = msgspec.json.encode(Session(self.core.label, self.core.boot, self.session.format))
         self.core.lane.write(
             Write(
                 {
@@ -158,7 +182,7 @@
         }
         formers = self.registry.formers(record, self.core.label, self.core.boot)
         formers = [former for former in formers if former.boot != self.core.boot]
-        value = BlockRecord(self.core.label, self.core.boot, record.machines, formers).encode()
+        value = self._encode(BlockRecord(self.core.label, self.core.boot, record.machines, formers))
         self._write(key, conditions, value)
 
     def _open(self, label: str, holder: str) -> None:
@@ -167,7 +191,10 @@
             return
         session, stamp = self.registry.sessions[holder]
         conditions = {key: 0, SESSIONS + holder: stamp}
-        self._write(key, conditions, BlockRecord(holder, session.boot, {}).encode())
+        self._write(key, conditions, self._encode(BlockRecord(holder, session.boot, {})))
+
+    def _encode(self, record: BlockRecord) -> bytes:
+        return record.encode(self.core.newer_format, self.core.value_bytes)
 
     def _write(self, key: str, conditions: dict[str, int], value: bytes) -> None:
         self.core.lane.write(
--- a/fallpulley/blocks/registry.py
+++ b/fallpulley/blocks/registry.py
@@ -7,12 +7,21 @@
 
 import msgspec
 
-from fallpulley.blocks.messages import BlockRecord, Former, Session, TeamHome, decode_block
+from fallpulley.blocks.messages import (
+    BlockRecord,
+    FormatMark,
+    Former,
+    Retired,
+    Session,
+    TeamHome,
+    decode_block,
+)
 from fallpulley.fleet.messages import Catalog, MachineType
 
 log = logging.getLogger(__name__)
 
 LEADER = "live/leader"
+FORMAT = "live/format"
 CATALOG = "live/catalog"
 BLOCKS, SESSIONS, TEAMS, RETIRED = "live/block/", "live/session/", "live/team/", "live/retire/"
 
@@ -27,7 +36,10 @@
         self.filled: dict[str, int] = {}  # block -> bytes of its record's value
         self.host_block: dict[str, str] = {}
         self.homes: dict[str, str] = {}
-        self.retired: dict[str, int] = {}
+        self.retired: dict[str, str] = {}  # machine to be released -> its record's key
+        self.retiring: dict[str, list[str]] = {}  # key -> its machines
+        self.formats: dict[str, int] = {}  # label -> record format its last process seen knows
+        self.format = 1  # that records may be written in
         self.types: dict[str, MachineType] = {}
         self.lost_sessions: dict[str, int] = {}  # label -> stamp at which it was last dropped
 
@@ -43,15 +55,24 @@
                 self.sessions.pop(label, None)
             else:
                 self.sessions[label] = (session, stamp)
+                if self.formats.get(label) != session.format:
+                    log.info("controller format label=%s knows=%d", label, session.format)
+                self.formats[label] = session.format
+        elif key == FORMAT:
+            mark = _decode(value, FormatMark)
+            self.format = max(self.format, mark.format if mark is not None else 1)
         elif key == LEADER:
             leader = _decode(value, Session)
             self.leader = None if leader is None else (leader, stamp)
             log.info("leader %s term=%d", leader.label if leader else "none", stamp)
         elif key.startswith(RETIRED):
-            if value is None:
-                self.retired.pop(key[len(RETIRED) :], None)
-            else:
-                self.retired[key[len(RETIRED) :]] = stamp
+            for host in self.retiring.pop(key, ()):
+                self.retired.pop(host, None)
+            record = _decode(value, Retired)
+            if record is not None:
+                hosts = record.hosts or [key[len(RETIRED) :]]
+                self.retiring[key] = hosts
+                self.retired.update(dict.fromkeys(hosts, key))
         elif key.startswith(TEAMS):
             home = _decode(value, TeamHome)
             if home is not None:
--- a/fallpulley/blocks/session.py
+++ b/fallpulley/blocks/session.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from fallpulley.blocks.messages import Grant, Session
+from fallpulley.blocks.messages import NEWER_FORMAT, Grant, Session
 from fallpulley.core import Core
 from fallpulley.state.lane import Change, Order, Write
 from fallpulley.state.view import View
@@ -22,6 +22,7 @@
         self.core = core
         self.view = view
         self.key = f"live/session/{core.label}"
+        self.format = NEWER_FORMAT  # the newest record format that this process knows
         self.tenure: int | None = None
         self.held = False  # the key is attached to our lease
         self.renewed_at = float("-inf")  # when the last successful renewal was sent
@@ -31,7 +32,7 @@
 
     @property
     def value(self) -> bytes:
-        return msgspec.json.encode(Session(self.core.label, self.core.boot))
+        return msgspec.json.encode(Session(self.core.label, self.core.boot, self.format))
 
     def live(self) -> bool:
         """Our session certainly exists."""
--- a/fallpulley/blocks/shares.py
+++ b/fallpulley/blocks/shares.py
@@ -16,8 +16,6 @@
 # Bytes that a machine adds to its block's record at the most, with a name and an address of the
 # usual length; packed, neighbours take a fifth of it.
 ENTRY_BYTES = 40
-# Of a value's room, what a block's record may fill.
-RECORD_SHARE = 0.95
 # With all records filled beyond this share a further block is opened, whoever holds it.
 FULL_RECORDS = 0.8
 
@@ -28,11 +26,6 @@
     return max(1, int(busy))
 
 
-def record_bytes(facts: Facts) -> int:
-    """What a block's record may take; beyond it no change of the block could be written."""
-    return int(facts.state.value_kb * 1024 * RECORD_SHARE)
-
-
 def blocks_wanted(machines: int, controllers: int, per_block: int) -> int:
     """As few blocks as carry the machines: each split leaves room idle in one block while
     tasks wait in another."""
--- a/fallpulley/blocks/writer.py
+++ b/fallpulley/blocks/writer.py
@@ -4,9 +4,11 @@
 
 import logging
 
-from fallpulley.blocks.messages import BlockRecord, MachineEntry
+import msgspec
+
+from fallpulley.blocks.messages import BlockRecord, MachineEntry, Retired
 from fallpulley.blocks.registry import BLOCKS, RETIRED, Registry
-from fallpulley.blocks.shares import ENTRY_BYTES, record_bytes
+from fallpulley.blocks.shares import ENTRY_BYTES
 from fallpulley.core import Core
 from fallpulley.state.lane import TXN_BYTES, Change, Order, Write
 from fallpulley.state.view import View
@@ -14,6 +16,9 @@
 log = logging.getLogger(__name__)
 
 
+# Machines in one record of those to be released: far below what a value holds, and a release takes
+# a hundred.
+RETIRED_MOST = 40
 # Of a report interval, the least time between two writes of a block's record.
 WRITE_REPORTS = 0.1
 
@@ -30,7 +35,6 @@
         self.core = core
         self.view = view
         self.registry = registry
-        self.most_bytes = record_bytes(core.settings.facts)
         self.adding: dict[str, dict[str, MachineEntry]] = {}
         self.removing: dict[str, set[str]] = {}
         self.handing: dict[str, dict[str, str]] = {}  # block -> machine -> block that gets it
@@ -84,7 +88,7 @@
     def has_room(self, block: str) -> bool:
         """The block's record can take one machine more."""
         coming = len(self.adding.get(block, ())) + 1
-        return self.registry.filled.get(block, 0) + coming * ENTRY_BYTES <= self.most_bytes
+        return self.registry.filled.get(block, 0) + coming * ENTRY_BYTES <= self.core.value_bytes
 
     def coming(self, host: str) -> bool:
         return any(host in hosts for hosts in self.adding.values())
@@ -130,7 +134,9 @@
             for wish in (self.adding, self.removing, self.marks, self.handing):
                 wish.pop(label, None)
             return
-        out = sorted(removing)[: self.core.settings.facts.state.txn_ops - 3]
+        # In the older format each machine that goes has a record of its own.
+        newer = self.core.newer_format
+        out = sorted(removing)[: RETIRED_MOST if newer else self.core.txn_ops - 3]
         machines = {h: e for h, e in record.machines.items() if h not in out}
         machines |= adding
         # A successor fences the machines directly: it needs their addresses.
@@ -147,16 +153,19 @@
         conditions = {key: stamp}
         changes = self._hand(label, handing, machines, conditions)
         earlier = [] if label in self.alone else record.earlier
-        value = BlockRecord(record.holder, record.boot, machines, earlier).encode()
-        while len(value) > self.most_bytes and adding:
+        value = self._encode(BlockRecord(record.holder, record.boot, machines, earlier))
+        while len(value) > self.core.value_bytes and adding:
             # A record that no value holds could never be written again: what came last is left
             # to the next list, which grants it to a block with room.
             for host in list(adding)[len(adding) // 2 :]:
                 del adding[host]
                 machines.pop(host, None)
-            value = BlockRecord(record.holder, record.boot, machines, earlier).encode()
+            value = self._encode(BlockRecord(record.holder, record.boot, machines, earlier))
         changes.append(Change(key, value))
-        changes += [Change(RETIRED + host, b"{}") for host in out]
+        if newer and out:
+            changes.append(Change(RETIRED + out[0], msgspec.json.encode(Retired(out))))
+        elif out:
+            changes += [Change(RETIRED + host, b"{}") for host in out]
         self._busy[label] = self.core.now + 3.0
 
         def written(status: int | None, ledger: int) -> None:
@@ -174,6 +183,9 @@
 
         self.core.lane.write(Write(conditions, changes, written, Order.ACCEPT))
 
+    def _encode(self, record: BlockRecord) -> bytes:
+        return record.encode(self.core.newer_format, self.core.value_bytes)
+
     def _hand(
         self,
         own: str,
@@ -193,9 +205,9 @@
         for host in moved:
             entry = machines[host]
             gets[host] = MachineEntry(entry.addr, entry.build, entry.zone, entry.spot)
-        value = BlockRecord(record.holder, record.boot, gets, record.earlier).encode()
+        value = self._encode(BlockRecord(record.holder, record.boot, gets, record.earlier))
         ours = self.registry.filled.get(own, 0)
-        if len(value) > self.most_bytes or len(value) + ours > TXN_BYTES:
+        if len(value) > self.core.value_bytes or len(value) + ours > TXN_BYTES:
             handing.clear()  # a value, or the transaction with both, would be too large: they stay
             return []
         for host in moved:
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -13,8 +13,8 @@
 
 from fallpulley.blocks.held import HeldBlock
 from fallpulley.blocks.leadership import Leadership
-from fallpulley.blocks.messages import Former
-from fallpulley.blocks.registry import BLOCKS, SESSIONS, Registry
+from fallpulley.blocks.messages import NEWER_FORMAT, Former
+from fallpulley.blocks.registry import BLOCKS, FORMAT, SESSIONS, Registry
 from fallpulley.blocks.session import SessionKeeper
 from fallpulley.blocks.shares import target_sizes
 from fallpulley.blocks.writer import BlockWriter
@@ -217,11 +217,19 @@
             self._on_block(key[len(BLOCKS) :], previous)
         elif key.startswith(SESSIONS):
             self._check_old_holders()
+        elif key == FORMAT and self.registry.format >= NEWER_FORMAT:
+            self.core.begin_newer_format()
 
     def _on_job(self, job: str, value: bytes | None, stamp: int) -> None:
-        known = self.desk.on_record(job, value, stamp)
-        if known is None:
+        if self.desk.on_record(job, value, stamp) is None:
             return
+        touched, self.desk.touched = self.desk.touched, set()
+        for name in {job} | touched:
+            self._settle_job(name)
+
+    def _settle_job(self, job: str) -> None:
+        """Bring what its block's holder has of a job up to its record, and to others' records."""
+        known = self.desk.known[job]
         held = self.held.get(known.block)
         if held is None:
             return
@@ -230,7 +238,10 @@
             if open_job is not None:
                 held.end_job(open_job, known.stage == WITHDRAWN)
         elif open_job is None:
-            held.add_job(job, known.record, stamp)
+            held.add_job(job, known.record, known.stamp, self.desk.pipelines.node(job))
+        else:
+            open_job.node = self.desk.pipelines.node(job)
+            held.dirty = True
 
     def _on_block(self, label: str, previous: tuple[str, str] | None) -> None:
         core = self.core
@@ -260,7 +271,7 @@
         for job in self.desk.open_by_block.get(label, ()):
             known = self.desk.known[job]
             if known.record is not None:
-                held.add_job(job, known.record, known.stamp)
+                held.add_job(job, known.record, known.stamp, self.desk.pipelines.node(job))
         self._check_old_holders()
 
     def _check_old_holders(self) -> None:
@@ -434,7 +445,7 @@
                 self.writer.alone.add(held.label)
             if held.touch:
                 self.writer.touching.add(held.label)
-            self.job_keeper.tick(held)
+            self.job_keeper.tick(held, self.desk.derived.get(held.label, {}))
             if self.session.live():
                 if held.unproven and term is not None:
                     self.fleet.prove(held)
--- a/fallpulley/core.py
+++ b/fallpulley/core.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 
 from fallpulley.effects import Answer, Call, Done, Effect
 from fallpulley.settings import Settings
 from fallpulley.state.lane import Lane
 
+log = logging.getLogger(__name__)
+
+# Of a value's room, what a record may fill.
+VALUE_SHARE = 0.95
 # Steady clocks drift apart by up to 0.05%; twice that covers two clocks running apart.
 DRIFT = 1.001
 
@@ -23,11 +28,15 @@
         self.effects: list[Effect] = []
         facts = settings.facts
         nodes = max(facts.nodes, 1)
+        # Every controller knows the newer record format: the marker in the state service says so.
+        self.newer_format = False
+        self.lesser = facts.state.lesser()
         self.lane = Lane(
             settings.endpoints.state,
             facts.state.rps / nodes,
             facts.state.write_rps / nodes,
-            facts.state.txn_ops,
+            # Transactions as small as they will have to be: both formats allow it.
+            self.lesser.txn_ops,
             self.effects.append,
         )
         workers = facts.workers
@@ -42,6 +51,26 @@
         # A worker's lease is certainly over this long after the last answer to it.
         self.lease_over_s = workers.lease_s * DRIFT + 0.25 * workers.report_s
 
+    @property
+    def txn_ops(self) -> int:
+        return self.lesser.txn_ops
+
+    @property
+    def value_bytes(self) -> int:
+        """What a value may take now. Once no controller needs the older format, no more than the
+        state service will allow, so that the coming of its limits is no event."""
+        facts = self.settings.facts
+        limits = self.lesser if self.newer_format else facts.state
+        return int(limits.value_kb * 1024 * VALUE_SHARE)
+
+    def begin_newer_format(self) -> None:
+        if self.newer_format:
+            return
+        self.newer_format = True
+        log.info("records newer format begins")
+        nodes = max(self.settings.facts.nodes, 1)
+        self.lane.expect_limits(self.lesser.rps / nodes, self.lesser.write_rps / nodes)
+
     def answer(
         self, ticket: object, status: int, body: bytes = b"", retry_after: float | None = None
     ) -> None:
--- a/fallpulley/fleet/keeper.py
+++ b/fallpulley/fleet/keeper.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from fallpulley.blocks.messages import MachineEntry
-from fallpulley.blocks.registry import CATALOG, RETIRED, Registry
+from fallpulley.blocks.registry import CATALOG, Registry
 from fallpulley.blocks.writer import BlockWriter
 from fallpulley.core import Core
 from fallpulley.effects import Done
@@ -196,7 +196,7 @@
 
     def _release(self) -> None:
         now = self.core.now
-        hosts = [h for h in self.registry.retired if h not in self._dropping]
+        hosts = [h for h, key in self.registry.retired.items() if key not in self._dropping]
         hosts += [h for h in self.doomed if h not in self.registry.retired]
         if not hosts or now < self._next_release:
             return
@@ -210,20 +210,20 @@
             for host in hosts:
                 self.released[host] = self.core.now
                 self.doomed.discard(host)
-                if host in self.registry.retired:
-                    self._drop_retired(host)
+            for key in {self.registry.retired.get(host) for host in hosts}:
+                if key is not None and all(h in self.released for h in self.registry.retiring[key]):
+                    self._drop_retired(key)
             log.info("machines released n=%d first=%s", len(hosts), hosts[0])
 
         body = msgspec.json.encode(Release(hosts))
         if self._call("POST", "/rentals/release", body, done):
             self._next_release = now + CALL_S + 0.5
 
-    def _drop_retired(self, host: str) -> None:
-        self._dropping.add(host)
-        key = RETIRED + host
+    def _drop_retired(self, key: str) -> None:
+        self._dropping.add(key)
 
         def written(status: int | None, ledger: int) -> None:
-            self._dropping.discard(host)
+            self._dropping.discard(key)
 
         self.core.lane.write(
             Write({key: self.view.stamp(key)}, [Change(key, None)], written, Order.PROGRESS)
--- a/fallpulley/jobs/desk.py
+++ b/fallpulley/jobs/desk.py
@@ -16,6 +16,7 @@
     JOB_ID,
     OPEN,
     PENDING,
+    RANKS,
     RUNNING,
     SWEEP,
     WITHDRAWN,
@@ -25,6 +26,7 @@
     named_job,
     parse_submission,
 )
+from fallpulley.jobs.pipelines import Pipelines
 from fallpulley.settings import Team
 from fallpulley.state.lane import Change, Order, Write
 from fallpulley.state.view import View
@@ -47,6 +49,7 @@
     stamp: int
     at_ms: int = 0
     record: JobRecord | None = None  # open jobs only
+    end_ms: int = 0
 
 
 class JobDesk:
@@ -58,6 +61,11 @@
         self.open_by_block: dict[str, set[str]] = {}
         self.counts: dict[str, tuple[int, int]] = {}  # done, running: for display
         self.teams: dict[str, Team] = {team.name: team for team in core.settings.facts.teams}
+        self.pipelines = Pipelines(self._ended_ms, self._is_withdrawn)
+        # Withdrawn because a job that they need is; block -> jobs whose own record does not say so.
+        self.derived: dict[str, dict[str, Known]] = {}
+        # Jobs that others' records have made ready, withdrawn or more urgent, for the owner to act.
+        self.touched: set[str] = set()
 
     # -- records ---------------------------------------------------------------------------
 
@@ -78,6 +86,7 @@
             stamp,
             record.at_ms,
             record if is_open else None,
+            record.end_ms,
         )
         self.known[job] = known
         jobs = self.open_by_block.setdefault(record.block, set())
@@ -86,13 +95,78 @@
         else:
             jobs.discard(job)
             self.counts.pop(job, None)
+            self.derived.get(record.block, {}).pop(job, None)
+        self._follow(job, known)
         return known
 
+    # -- pipelines -------------------------------------------------------------------------
+
+    def _ended_ms(self, job: str) -> int | None:
+        known = self.known.get(job)
+        if known is None or known.stage != DONE:
+            return None
+        return known.end_ms or known.at_ms
+
+    def _is_withdrawn(self, job: str) -> bool:
+        known = self.known.get(job)
+        return known is not None and known.stage == WITHDRAWN
+
+    def _follow(self, job: str, known: Known) -> None:
+        """What a job's record means for those that it awaits, and for those that await it."""
+        record = known.record
+        if record is not None and record.spec is not None:
+            spec = record.spec
+            if not spec.awaits and job not in self.pipelines.needed_by:
+                return
+            for name in spec.awaits or ():
+                self._node_of(name)
+            log.info("job awaits job=%s others=%s", job, ",".join(spec.awaits or ()))
+            changes = self.pipelines.opened(
+                job, spec.awaits or [], known.at_ms, RANKS[spec.rank], self._length_s(spec)
+            )
+        elif known.stage == DONE:
+            changes = self.pipelines.done(job, known.end_ms or round(self.core.wall * 1000))
+        elif known.stage == WITHDRAWN:
+            changes = self.pipelines.withdrawn(job)
+        else:
+            return
+        for name in changes.ready:
+            log.info("job ready job=%s after=%s", name, job)
+        for name in changes.withdrawn:
+            self._derive_withdrawn(name, job)
+        self.touched.update(changes.ready, changes.withdrawn, changes.lifted)
+
+    def _node_of(self, job: str) -> None:
+        """A job that is awaited takes part in its pipeline, though it awaits none itself."""
+        known = self.known.get(job)
+        if known is not None and known.record is not None and known.record.spec is not None:
+            spec = known.record.spec
+            self.pipelines.awaited(job, known.at_ms, RANKS[spec.rank], self._length_s(spec))
+
+    def _length_s(self, spec: Submission) -> float:
+        """A task's estimated fetch and run time (T 3-1: transfer cost and mean run time)."""
+        rates = [kind.fetch_gb_per_s for kind in self.registry.types.values()]
+        rate = sum(rates) / len(rates) if rates else 0.0
+        return spec.expect_s + (spec.size_gb / rate if rate > 0 else 0.0)
+
+    def _derive_withdrawn(self, job: str, cause: str) -> None:
+        known = self.known.get(job)
+        if known is None or known.stage != OPEN:
+            return
+        log.info("job withdrawn with job=%s cause=%s", job, cause)
+        known.stage, known.record = WITHDRAWN, None
+        self.open_by_block.get(known.block, set()).discard(job)
+        self.counts.pop(job, None)
+        self.derived.setdefault(known.block, {})[job] = known
+
     def load(self, block: str) -> float:
         """Estimated work of a block's unfinished jobs, in processor-seconds."""
         work = 0.0
         for job in self.open_by_block.get(block, ()):
             record = self.known[job].record
+            node = self.pipelines.node(job)
+            if node is not None and node.missing:
+                continue
             if record is not None and record.spec is not None:
                 spec = record.spec
                 left = spec.pieces - self.counts.get(job, (0, 0))[0]
@@ -163,10 +237,37 @@
         if why is not None:
             self._reject_unless_known(ticket, spec.uid, why)
             return
+        if spec.awaits and not self.core.newer_format:
+            # An older controller would start it at once.
+            self._refuse(ticket, "not every controller knows pipelines yet")
+            return
+        if all(name in self.known for name in spec.awaits or ()):
+            self._admit(ticket, spec)
+            return
+
+        def current(ok: bool) -> None:
+            found = self.known.get(spec.uid)
+            if found is not None and (ok or found.stage in FINAL):
+                self._answer_stage(ticket, spec.uid, found)
+            elif not ok:
+                self._refuse(ticket, "state service out of reach")
+            elif all(name in self.known for name in spec.awaits or ()):
+                self._admit(ticket, spec)
+            else:
+                self._reject(ticket, 422, "awaits a job that was never accepted")
+
+        self.view.when_current(current, self.core.now)
+
+    def _admit(self, ticket: Any, spec: Submission) -> None:
+        """All that it awaits was accepted: into a block with it."""
         block = self._choose_block(spec)
         if block is None:
             self._refuse(ticket, "no block open yet")
             return
+        if spec.awaits is not None:
+            # Done never goes back: what is done need not stand in the record.
+            awaits = [a for a in dict.fromkeys(spec.awaits) if self.known[a].stage != DONE]
+            spec = msgspec.structs.replace(spec, awaits=awaits or None)
         self._accept(ticket, spec, block)
 
     def _reject_unless_known(self, ticket: Any, job: str, why: str, status: int = 422) -> None:
@@ -227,7 +328,7 @@
         value = msgspec.json.encode(
             JobRecord(block, round(self.core.wall * 1000), spec.pieces, OPEN, spec)
         )
-        if len(value) > self.core.settings.facts.state.value_kb * 1024 * 0.95:
+        if len(value) > self.core.value_bytes:
             self._reject(ticket, 400, "too long")
             return
         conditions = {key: 0}
@@ -247,7 +348,8 @@
                     spec.pieces,
                     spec.jobclass,
                 )
-                body = msgspec.json.encode(Stage(spec.uid, PENDING))
+                lost = any(self._is_withdrawn(name) for name in spec.awaits or ())
+                body = msgspec.json.encode(Stage(spec.uid, WITHDRAWN if lost else PENDING))
                 self.core.answer(ticket, 201, body)
             elif status == 409:
                 self._reject_or_retry(ticket, spec)
--- a/fallpulley/jobs/keeper.py
+++ b/fallpulley/jobs/keeper.py
@@ -9,9 +9,9 @@
 
 from fallpulley.blocks.held import HeldBlock
 from fallpulley.core import Core
-from fallpulley.jobs.desk import JOBS
-from fallpulley.jobs.messages import DONE, JOB_ID, JobRecord, Progress
-from fallpulley.jobs.open import OpenJob, chunk_tasks
+from fallpulley.jobs.desk import JOBS, Known
+from fallpulley.jobs.messages import DONE, JOB_ID, WITHDRAWN, JobRecord, Progress
+from fallpulley.jobs.open import OpenJob, chunk_name, chunk_tasks, is_chunk
 from fallpulley.state.lane import Change, Order, Write
 
 log = logging.getLogger(__name__)
@@ -37,10 +37,17 @@
 class JobKeeper:
     def __init__(self, core: Core) -> None:
         self.core = core
-        self.chunk = chunk_tasks(core.settings.facts.state.value_kb)
+        self.older_chunk = chunk_tasks(core.settings.facts.state.value_kb)
+        self.newer_chunk = chunk_tasks(core.lesser.value_kb)
         self._loading: set[int] = set()
-
-    def tick(self, held: HeldBlock) -> None:
+        self._withdrawing: set[str] = set()  # records under way
+
+    def tick(self, held: HeldBlock, derived: dict[str, Known]) -> None:
+        """`derived`: jobs of the block that are withdrawn with others; their records follow."""
+        for uid, known in derived.items():
+            if self.core.lane.waiting_changes(Order.PROGRESS) >= 4:
+                break
+            self._record_withdrawn(uid, known)
         if not held.loaded:
             self._load(held)
             return
@@ -60,17 +67,41 @@
             ):
                 self._save(job)
 
+    def _record_withdrawn(self, job: str, known: Known) -> None:
+        if job in self._withdrawing:
+            return
+        self._withdrawing.add(job)
+        key = JOBS + job
+        value = msgspec.json.encode(JobRecord(known.block, known.at_ms, known.pieces, WITHDRAWN))
+
+        def written(status: int | None, ledger: int) -> None:
+            self._withdrawing.discard(job)
+
+        self.core.lane.write(
+            Write(
+                {key: known.stamp},
+                [Change(key, value)],
+                written,
+                Order.PROGRESS,
+                expires_at=self.core.now + 5.0,
+            )
+        )
+
     def _finish(self, held: HeldBlock, job: OpenJob) -> None:
         """Every task is done: the record says so before anybody else does."""
         job.ending = True
         key = JOBS + job.job
         record = job.record
-        value = msgspec.json.encode(JobRecord(record.block, record.at_ms, record.pieces, DONE))
+        end_ms = round(self.core.wall * 1000)
+        value = msgspec.json.encode(
+            JobRecord(record.block, record.at_ms, record.pieces, DONE, end_ms=end_ms)
+        )
         changes = [Change(key, value)]
         conditions = {key: job.stamp}
-        for number, stamp in job.ledger.items():
-            conditions[f"{PROGRESS}{job.job}/{number}"] = stamp
-            changes.append(Change(f"{PROGRESS}{job.job}/{number}", None))
+        # As many progress values as the transaction holds; what is left of them harms nothing.
+        for name, stamp in list(job.ledger.items())[: self.core.txn_ops - 1]:
+            conditions[f"{PROGRESS}{job.job}/{name}"] = stamp
+            changes.append(Change(f"{PROGRESS}{job.job}/{name}", None))
 
         def written(status: int | None, ledger: int) -> None:
             log.info("job done job=%s status=%s term=%d", job.job, status, held.token)
@@ -87,31 +118,32 @@
         )
 
     def _save(self, job: OpenJob) -> None:
-        chunks = job.dirty_chunks(self.chunk)
+        newer = self.core.newer_format
+        tasks = self.newer_chunk if newer else self.older_chunk
         job.unsaved_since = None
-        for number in chunks[:4]:
-            self._save_chunk(job, number)
+        for number in job.dirty_chunks(tasks)[:4]:
+            self._save_chunk(job, number, tasks, chunk_name(number, tasks, newer))
 
-    def _save_chunk(self, job: OpenJob, number: int) -> None:
+    def _save_chunk(self, job: OpenJob, number: int, tasks: int, name: str) -> None:
         job.saving = True
-        key = f"{PROGRESS}{job.job}/{number}"
-        content = job.chunk(number, self.chunk)
+        key = f"{PROGRESS}{job.job}/{name}"
+        content = job.chunk(number, tasks)
         value = msgspec.json.encode(Progress(base64.b64encode(content).decode()))
 
         def written(status: int | None, ledger: int) -> None:
             job.saving = False
             if status == 200:
-                job.ledger[number] = ledger
-                job.saved(number, self.chunk, content)
+                job.ledger[name] = ledger
+                job.saved(number, tasks, content)
                 return
             if job.unsaved_since is None:
                 job.unsaved_since = self.core.now
             if status in (409, None):
-                self._reread(job, number)
+                self._reread(job, name)
 
         self.core.lane.write(
             Write(
-                {key: job.ledger.get(number, 0)},
+                {key: job.ledger.get(name, 0)},
                 [Change(key, value)],
                 written,
                 Order.PROGRESS,
@@ -119,21 +151,21 @@
             )
         )
 
-    def _reread(self, job: OpenJob, number: int) -> None:
+    def _reread(self, job: OpenJob, name: str) -> None:
         """Somebody's write, perhaps our own late one, changed the value: merge it."""
         job.saving = True
-        path = f"/store/{PROGRESS}{job.job}/{number}"
+        path = f"/store/{PROGRESS}{job.job}/{name}"
 
         def done(status: int | None, body: bytes, sent_at: float) -> None:
             job.saving = False
             if status == 404:
-                job.ledger.pop(number, None)
+                job.ledger.pop(name, None)
             elif status == 200:
                 try:
                     pair = msgspec.json.decode(body, type=_Pair)
                 except msgspec.MsgspecError:
                     return
-                job.restore(number, self.chunk, pair.v.bits, pair.stamp, self.core.now)
+                job.restore(name, self.older_chunk, pair.v.bits, pair.stamp)
 
         self.core.lane.read(path, done, Order.PROGRESS, expires_at=self.core.now + 5.0)
 
@@ -171,7 +203,7 @@
         self.core.lane.read(path, done, Order.PROGRESS, timeout_s=5.0)
 
     def _restore(self, held: HeldBlock, pair: _Pair) -> None:
-        name, _, number = pair.k[len(PROGRESS) :].rpartition("/")
-        job = held.jobs.get(name)
-        if job is not None and JOB_ID.fullmatch(name) and number.isdigit():
-            job.restore(int(number), self.chunk, pair.v.bits, pair.stamp, self.core.now)
+        uid, _, name = pair.k[len(PROGRESS) :].rpartition("/")
+        job = held.jobs.get(uid)
+        if job is not None and JOB_ID.fullmatch(uid) and is_chunk(name):
+            job.restore(name, self.older_chunk, pair.v.bits, pair.stamp)
--- a/fallpulley/jobs/messages.py
+++ b/fallpulley/jobs/messages.py
@@ -14,6 +14,7 @@
 SWEEP, ENSEMBLE, SERVICE = "sweep", "ensemble", "service"
 
 JOB_ID = re.compile(r"job-[0-9]{1,40}")
+JobId = Annotated[str, Meta(pattern=r"^job-[0-9]{1,40}\Z")]
 
 PENDING, RUNNING, DONE, WITHDRAWN = "pending", "running", "done", "withdrawn"
 OPEN = "open"
@@ -22,7 +23,7 @@
 RANKS = {"best_effort": 0, "standard": 1, "high": 2, "production": 3}
 
 
-class Submission(msgspec.Struct, frozen=True):
+class Submission(msgspec.Struct, frozen=True, omit_defaults=True):
     """`POST /work`. Fields that may be null may be left out."""
 
     uid: Text
@@ -45,6 +46,8 @@
     builds: Annotated[list[Text], Meta(max_length=64)] | None = None
     hall: Text | None = None
     due_s: Amount | None = None
+    # Jobs that have to be done before any task of this one starts.
+    awaits: list[JobId] | None = None
 
 
 class JobRecord(msgspec.Struct, omit_defaults=True):
@@ -58,6 +61,8 @@
     pieces: int
     stage: str = OPEN
     spec: Submission | None = None
+    # When it ended: what awaits it counts its times from then. 0: the record's writer did not say.
+    end_ms: int = 0
 
 
 class Progress(msgspec.Struct):
--- a/fallpulley/jobs/open.py
+++ b/fallpulley/jobs/open.py
@@ -6,7 +6,8 @@
 import binascii
 from collections import deque
 
-from fallpulley.jobs.messages import ENSEMBLE, JobRecord, Submission
+from fallpulley.jobs.messages import ENSEMBLE, RANKS, JobRecord, Submission
+from fallpulley.jobs.pipelines import Node
 from fallpulley.workers.machine import Run
 
 # Of a value's room, the share a chunk of completion bits may take after base64.
@@ -20,8 +21,27 @@
     return max(8, int(value_kb * 1024 * CHUNK_SHARE * 6) // 8 * 8)
 
 
+def chunk_name(number: int, tasks: int, newer: bool) -> str:
+    """The last part of a progress value's key; in the newer format with its size, which a limit
+    to come would change."""
+    return f"{number}@{tasks}" if newer else str(number)
+
+
+def chunk_of(name: str, older_tasks: int) -> tuple[int, int]:
+    """Number and size of the chunk that a progress value's key names."""
+    number, at, tasks = name.partition("@")
+    return int(number), int(tasks) if at else older_tasks
+
+
+def is_chunk(name: str) -> bool:
+    number, at, tasks = name.partition("@")
+    return number.isdigit() and (not at or (tasks.isdigit() and int(tasks) >= 8))
+
+
 class OpenJob:
-    def __init__(self, job: str, record: JobRecord, spec: Submission, stamp: int) -> None:
+    def __init__(
+        self, job: str, record: JobRecord, spec: Submission, stamp: int, node: Node | None = None
+    ) -> None:
         self.job = job
         self.record = record
         self.spec = spec
@@ -48,10 +68,31 @@
         self.saved_at = float("-inf")  # when progress was last written
         self.saving = False
         self.unsaved_since: float | None = None
-        self.ledger: dict[int, int] = {}  # progress chunk -> stamp
+        self.ledger: dict[str, int] = {}  # progress value -> stamp
+        self.node = node  # its place in a pipeline, if it has one
         self.remaining_s = float("inf")
         self.remaining_key: tuple[object, ...] = ()
 
+    @property
+    def awaiting(self) -> bool:
+        """A job that it needs is not known to be done: nothing of it may start."""
+        return self.node is not None and bool(self.node.missing)
+
+    @property
+    def since_ms(self) -> int:
+        """Its times count from here: its submission, or the end of the last that it awaited."""
+        return self.record.at_ms if self.node is None else self.node.since_ms
+
+    @property
+    def rank(self) -> int:
+        """The highest priority of its own and of all jobs that need it."""
+        return RANKS[self.spec.rank] if self.node is None else self.node.rank
+
+    @property
+    def path_s(self) -> float:
+        """The longest path of estimated fetches and run times after it."""
+        return 0.0 if self.node is None else self.node.path_s
+
     def is_done(self, index: int) -> bool:
         return bool(self.bits[index >> 3] & (1 << (index & 7)))
 
@@ -121,8 +162,10 @@
         self.durable[number * size : number * size + len(content)] = content
         self.durable_done = sum(byte.bit_count() for byte in self.durable)
 
-    def restore(self, number: int, tasks: int, encoded: str, stamp: int, now: float) -> None:
-        """Merge a progress value found in the state service."""
+    def restore(self, name: str, older_tasks: int, encoded: str, stamp: int) -> None:
+        """Merge a progress value found in the state service. Its name says which chunk it is and
+        of how many tasks; the older format's went by the limits of its time."""
+        number, tasks = chunk_of(name, older_tasks)
         try:
             content = base64.b64decode(encoded, validate=True)
         except (binascii.Error, ValueError):
@@ -137,4 +180,4 @@
             self.durable[-1] &= 0xFF >> spare
         self.done = sum(byte.bit_count() for byte in self.bits)
         self.durable_done = sum(byte.bit_count() for byte in self.durable)
-        self.ledger[number] = stamp
+        self.ledger[name] = stamp
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -11,7 +11,7 @@
 from fallpulley.core import Core
 from fallpulley.fleet.messages import MachineType
 from fallpulley.fleet.sizing import Group
-from fallpulley.jobs.messages import ENSEMBLE, RANKS, SERVICE
+from fallpulley.jobs.messages import ENSEMBLE, SERVICE
 from fallpulley.jobs.open import OpenJob
 from fallpulley.placement.estimate import left_of
 from fallpulley.placement.plan import (
@@ -129,6 +129,8 @@
     for job in held.jobs.values():
         if job.withdrawn or job.finished or now < job.retry_at or held.doubtful(job):
             continue
+        if job.awaiting:
+            continue
         team = teams.get(job.spec.crew)
         if team is not None and team.limited and unclear:
             continue
@@ -153,7 +155,7 @@
 
 def first_tasks(job: OpenJob, core: Core) -> int:
     """How many tasks of a job go before all others: none, unless none of it has run for long."""
-    waited = core.wall - job.record.at_ms / 1000
+    waited = core.wall - job.since_ms / 1000
     if job.done or waited < core.settings.operators.begin_bound_s:
         return 0
     return math.ceil(FIRST_SHARE * job.spec.pieces)
@@ -174,7 +176,7 @@
     if key != job.remaining_key:
         job.remaining_key = key
         job.remaining_s = remaining_time(job.need, estimate, left, kinds)
-    waited = (wall_ms - job.record.at_ms) / 1000
+    waited = (wall_ms - job.since_ms) / 1000
     avoid = job.failed_on or None
     if avoid is not None and avoid >= held.machines.keys():
         avoid = None  # it failed on all there are: closed to it, they would stand idle beside it
@@ -195,11 +197,11 @@
         tasks,
         spec.kit,
         spec.size_gb,
-        job.remaining_s,
+        job.remaining_s + job.path_s,
         waited > core.settings.operators.age_bound * estimate,
-        job.record.at_ms / 1000,
+        job.since_ms / 1000,
         spec.loaners,
-        RANKS[spec.rank],
+        job.rank,
         spec.builds,
         zone,
         zone_room,
@@ -366,7 +368,7 @@
         job = held.jobs.get(run.job)
         if job is None or run.stopping is not None or not run.seen or run.stage == SAVING:
             continue
-        if RANKS[job.spec.rank] >= below:
+        if job.rank >= below:
             continue
         if len(job.runs) <= first_tasks(job, core):
             continue  # it has waited for long enough
@@ -374,7 +376,7 @@
         if job.spec.bookmark_s > 0:
             ran = min(ran, 0.5 * job.spec.bookmark_s)
         loss = max(ran, 0.1) * max(run.need[0], 0.1)
-        found.append(Victim(run.piece, RANKS[job.spec.rank], run.need, loss))
+        found.append(Victim(run.piece, job.rank, run.need, loss))
     found.sort(key=lambda victim: victim.loss / max(victim.need[0], 0.1))
     return found
 
@@ -385,8 +387,8 @@
     """Queued and running work by the machines it may use."""
     groups: dict[tuple[object, ...], Group] = {}
     for job in held.jobs.values():
-        if job.withdrawn or job.finished:
-            continue
+        if job.withdrawn or job.finished or job.awaiting:
+            continue  # machines rented for what cannot start yet would stand idle
         spec = job.spec
         processors = _processors(job, types)
         estimate = held.estimate(job)
@@ -398,7 +400,7 @@
             ran = now - run.running_at if run.running_at is not None else 0.0
             work += left_of(estimate, ran) * processors
         builds = tuple(sorted(spec.builds)) if spec.builds is not None else None
-        urgent = RANKS[spec.rank] >= URGENT_RANK
+        urgent = job.rank >= URGENT_RANK
         key = (spec.loaners, builds, spec.hall, urgent)
         group = groups.setdefault(
             key, Group(spec.loaners, builds, spec.hall, 0.0, 0.0, urgent=urgent)
--- a/fallpulley/settings.py
+++ b/fallpulley/settings.py
@@ -73,11 +73,33 @@
     cancel_s: Positive
 
 
+class LimitsToCome(msgspec.Struct, frozen=True):
+    """What the state service will allow from some moment after an upgrade on, unannounced."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Annotated[int, Meta(ge=4)] | None = None
+
+
 class StateLimits(msgspec.Struct, frozen=True):
     rps: Positive
     write_rps: Positive
     value_kb: Positive
     txn_ops: Annotated[int, Meta(ge=4)]
+    next: LimitsToCome | None = None
+
+    def lesser(self) -> StateLimits:
+        """The lesser of what holds now and what is to come, each by itself."""
+        to_come = self.next
+        if to_come is None:
+            return self
+        return StateLimits(
+            min(self.rps, to_come.rps or self.rps),
+            min(self.write_rps, to_come.write_rps or self.write_rps),
+            min(self.value_kb, to_come.value_kb or self.value_kb),
+            min(self.txn_ops, to_come.txn_ops or self.txn_ops),
+        )
 
 
 class CloudLimits(msgspec.Struct, frozen=True):
--- a/fallpulley/state/lane.py
+++ b/fallpulley/state/lane.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import deque
 from collections.abc import Callable
 from enum import IntEnum
@@ -14,6 +15,8 @@
 
 from fallpulley.effects import Call, Done, Effect
 
+log = logging.getLogger(__name__)
+
 TXN_BYTES = 60 * 1024  # of the 64 KiB a transaction may take, leaving room for its frame
 # The service counts over all controllers; clocks and delays make shares overlap a little.
 SHARE_USED = 0.92
@@ -86,6 +89,11 @@
         self.tokens = self.most
         self.at: float | None = None
 
+    def lower(self, rate: float) -> None:
+        self.rate = min(self.rate, rate)
+        self.most = max(self.rate, 1.0)
+        self.tokens = min(self.tokens, self.most)
+
     def refill(self, now: float) -> None:
         if self.at is not None:
             self.tokens = min(self.most, self.tokens + (now - self.at) * self.rate)
@@ -110,6 +118,23 @@
         self._writes: dict[Order, deque[Write]] = {order: deque() for order in Order}
         self._reads: dict[Order, deque[_Read]] = {order: deque() for order in Order}
         self.timeout_s = 1.5
+        # Limits to come, by rates of requests and changes: taken once the service shows them.
+        self._to_come: tuple[float, float] | None = None
+
+    def expect_limits(self, rps: float, write_rps: float) -> None:
+        """From now on a 429 may mean that these hold."""
+        self._to_come = (rps * SHARE_USED, write_rps * SHARE_USED)
+
+    def _too_many(self) -> None:
+        """The service refused for its rate: others used more than their shares, or the limits to
+        come have come."""
+        if self._to_come is not None:
+            rps, write_rps = self._to_come
+            if write_rps < self.changes.rate or rps < self.requests.rate:
+                log.info("state limits have come rps=%.1f write_rps=%.1f", rps, write_rps)
+            self.requests.lower(rps)
+            self.changes.lower(write_rps)
+        self.changes.tokens = min(self.changes.tokens, 0.0)
 
     def write(self, write: Write) -> None:
         self._writes[write.order].append(write)
@@ -220,6 +245,12 @@
                 if failed & set(write.conditions):
                     write.written(409, 0)
             return
+        if status == 429:
+            # Not carried out: again, in its place, once the budget allows.
+            self._too_many()
+            for write in reversed(group):
+                self._writes[write.order].appendleft(write)
+            return
         if status == 400 and len(group) > 1:
             for write in reversed(group):
                 write.alone = True
--- a/tests/test_day_end.py
+++ b/tests/test_day_end.py
@@ -9,10 +9,9 @@
 import pytest
 
 from fallpulley.blocks.messages import BlockRecord, MachineEntry, decode_block
-from fallpulley.blocks.shares import record_bytes
 from fallpulley.effects import PeerMessage, Request
 from tests.test_stories import busy, machines_of, others, ready, submit
-from tests.world import LABELS, World, settings
+from tests.world import LABELS, World
 
 
 def replay(world: World, label: str, body: bytes) -> list[int]:
@@ -345,8 +344,9 @@
         for n in random.Random(1).sample(range(9000), 2000)
     }
     record = BlockRecord("pulleyhand-0", "b" * 30, machines)
-    assert len(record.encode()) < record_bytes(settings(LABELS[0]).facts)
-    assert decode_block(record.encode()) == record
+    for newer in (False, True):
+        assert len(record.encode(newer, 15_000)) < 0.95 * 16 * 1024
+        assert decode_block(record.encode(newer, 15_000)) == record
 
 
 def test_one_controller_alone_records_a_fleet_that_no_single_value_holds() -> None:
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -168,7 +168,7 @@
     for chunk in big.dirty_chunks(tasks):
         value = base64.b64encode(big.chunk(chunk, tasks)).decode()
         assert len(value) < 16 * 1024 * 0.9
-        again.restore(chunk, tasks, value, 5, 0.0)
+        again.restore(str(chunk), tasks, value, 5)
     assert again.done == big.done == 33_334
     assert again.is_durable(99_999) and not again.is_done(99_998)
 
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,223 @@
+"""Two versions side by side: the one in production, and the one with the newer record format.
+
+`data/production.json` holds records and messages as the version in production wrote them.
+"""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import random
+from typing import Any
+
+import msgspec
+import pytest
+
+from fallpulley.blocks.messages import BlockRecord, MachineEntry, Session, decode_block
+from fallpulley.jobs.messages import JobRecord
+from fallpulley.jobs.open import OpenJob, chunk_name, chunk_of, chunk_tasks, is_chunk
+from fallpulley.mesh import messages as mesh
+from tests.test_day_end import started
+from tests.test_edges import open_job
+from tests.test_stories import others, submit
+from tests.world import LABELS, World, job
+
+DATA = json.loads((pathlib.Path(__file__).parent / "data" / "production.json").read_text())
+TO_COME = {"write_rps": 18.0, "value_kb": 2.0, "txn_ops": 5}
+STATE = {"rps": 200.0, "write_rps": 90.0, "value_kb": 16.0, "txn_ops": 16, "next": TO_COME}
+
+
+def older_layouts_only(world: World) -> bool:
+    """What the version in production reads, and nothing else."""
+    for key, (value, _, _) in world.state.data.items():
+        if key == "live/format" or "@" in key or "runs" in value or value.get("hosts"):
+            return False
+    return True
+
+
+def mixed(older: list[str], machines: int = 3, **facts: Any) -> World:
+    world = World(machines, start=False, state=STATE, **facts)
+    world.capacity = machines
+    for label in LABELS:
+        world.boot(label, older=label in older)
+    world.until(lambda: bool(world.blocks()), 5.0)
+    world.run(3.0)
+    return world
+
+
+def test_records_and_messages_of_the_version_in_production_are_read() -> None:
+    for key, value in DATA["records"].items():
+        body = json.dumps(value).encode()
+        if key.startswith("live/block/"):
+            record = decode_block(body)
+            assert record.holder in LABELS and len(record.machines) > 0
+            assert all(entry.addr for entry in record.machines.values())
+        elif key.startswith("live/job/"):
+            assert msgspec.json.decode(body, type=JobRecord).pieces > 0
+        elif key.startswith("live/session/"):
+            assert msgspec.json.decode(body, type=Session).format == 1
+    for beat in DATA["beats"]:
+        assert isinstance(mesh.decode(json.dumps(beat).encode()), mesh.Beat)
+
+
+def test_work_that_the_version_in_production_left_behind_is_taken_up_and_ended() -> None:
+    world = World(5, start=False, state=STATE)
+    world.capacity = 5
+    world.boots = 100  # other processes than those in the records
+    for number, (key, value) in enumerate(DATA["records"].items(), 1):
+        if not key.startswith(("live/session/", "live/leader")):
+            world.state.data[key] = (value, number, None)
+            world.state.ledger = number
+            world.state.log.append({"set": key, "v": value, "stamp": number})
+        if key.startswith("live/job/") and "spec" in value:
+            world.specs[key.rpartition("/")[2]] = value["spec"]
+    for label in LABELS:
+        world.boot(label)
+    world.until(lambda: world.stage("job-000009") == world.stage("job-000010") == "done", 90.0)
+    assert world.stage("job-000003") == "withdrawn"
+    # Eighteen tasks of it were done already, by a progress value of the older layout.
+    assert started(world, "job-000009") <= 4
+
+
+def test_while_one_controller_may_be_older_nothing_is_written_that_it_does_not_read() -> None:
+    world = mixed(["node-2"])
+    uid = submit(world, 1, pieces=12, cpus=1.0)
+    world.times[uid] = 9.0
+    status, _, retry = world.get("node-0", "POST", "/work", job(2, awaits=[uid]))
+    assert (status, retry) == (503, 1.0)
+    for at in range(600):
+        world.step()
+        if at % 20 == 0:
+            assert older_layouts_only(world)
+    world.crash("node-2")
+    world.run(10.0)
+    assert older_layouts_only(world)  # it may come back as it was
+    world.boot("node-2", older=True)
+    world.run(5.0)
+    assert older_layouts_only(world)
+    world.crash("node-2")
+    world.boot("node-2")
+    world.until(lambda: "live/format" in world.state.data, 5.0)
+    world.run(0.5)
+    last = submit(world, 3, awaits=[uid])
+    world.until(lambda: world.stage(last) == "done", 60.0)
+    assert any("runs" in record for record in world.blocks().values())
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_old_and_new_holders_take_over_from_each_other_and_nothing_runs_twice(seed: int) -> None:
+    chance = random.Random(seed)
+    world = mixed(list(LABELS))
+    uids = [submit(world, n, pieces=4, crew="small" if n % 2 else "crew") for n in range(1, 5)]
+    for uid in uids:
+        world.times[uid] = 14.0
+    upgraded: set[str] = set()
+    for turn in range(8):
+        world.run(chance.uniform(1.0, 7.0))
+        label = world.holder() if turn % 2 == 0 else chance.choice(LABELS)
+        if label not in world.controllers:
+            continue
+        world.crash(label)
+        world.run(chance.choice([0.2, 5.0]))
+        if turn >= 2 and chance.random() < 0.7:
+            upgraded.add(label)
+        world.boot(label, older=label not in upgraded)
+        if len(upgraded) < 3:
+            assert older_layouts_only(world)
+    for label in LABELS:
+        if label not in upgraded:
+            world.crash(label)
+            world.boot(label)
+    world.until(lambda: "live/format" in world.state.data, 20.0)
+    world.until(lambda: all(world.stage(uid) == "done" for uid in uids), 150.0)
+
+
+def test_the_limits_to_come_are_no_event() -> None:
+    """A second after the last upgrade; nothing is refused for its size, and nothing is lost."""
+    world = mixed(list(LABELS), machines=150, machine_limits={"sockets": 4000})
+    uid = submit(world, 1, pieces=900, cpus=1.0)
+    world.times[uid] = 12.0
+    for label in [*others(world.holder()), world.holder()]:
+        world.run(4.0)
+        world.crash(label)
+        world.run(1.0)
+        world.boot(label)
+    world.until(lambda: "live/format" in world.state.data, 20.0)
+    world.run(1.0)
+    world.state.value_bytes, world.state.txn_ops, world.state.write_rps = 2048, 5, 18.0
+    more = [submit(world, n, pieces=2, cpus=1.0) for n in range(2, 20)]
+    world.until(lambda: world.stage(uid) == "done", 120.0)
+    world.until(lambda: all(world.stage(name) == "done" for name in more), 60.0)
+    assert world.state.refusals == 0
+    world.until(lambda: len(world.released) > 100, 120.0)
+    assert world.state.refusals == 0
+    for key, (value, _, _) in world.state.data.items():
+        assert len(json.dumps(value)) <= 2048, key
+
+
+def test_a_fleet_of_seven_hundred_fits_the_small_value_and_odd_names_are_kept() -> None:
+    chance = random.Random(3)
+    machines = {
+        f"vm-{n:06d}": MachineEntry(
+            f"10.1.{n >> 8}.{n & 255}:9000" if chance.random() < 0.95 else "",
+            chance.choice(["chhota", "madhyam", "bhari"]),
+            chance.choice(["ahmedabad-east", "vadodara-dc"]),
+            chance.random() < 0.6,
+            chance.random() < 0.9,
+        )
+        for n in chance.sample(range(3000), 700)
+    }
+    record = BlockRecord("pulleyhand-0", "b" * 30, machines)
+    assert len(record.encode(True, 1945)) < 0.95 * 2048
+    assert decode_block(record.encode(True, 1945)) == record
+    loose = {
+        host: MachineEntry(f"10.{chance.randrange(255)}.0.9:{n * 37 % 9000}", "b", "z", True)
+        for n, host in enumerate(machines)
+    }
+    small = BlockRecord("pulleyhand-0", "b" * 30, loose).encode(True, 1945)
+    assert len(small) < 0.95 * 2048
+    found = decode_block(small).machines
+    assert found.keys() == machines.keys() and not any(entry.addr for entry in found.values())
+    odd = ["a", "7", "vm-", "vm-1000000", "vm-0000001", "x" * 90 + "1", "vm-00000000000000000009"]
+    addresses = [
+        "",
+        "h:1",
+        "10.0.0.1:0",
+        "10.0.0.01:9",
+        "010.0.0.1:9",
+        "1.2.3.4:70000",
+        "9.9.9.9:9",
+    ]
+    for name, addr in zip(odd, addresses, strict=True):
+        record.machines[name] = MachineEntry(addr, "b", "z", False)
+    assert decode_block(record.encode(True, 16_000)) == record
+    assert decode_block(record.encode(False, 16_000)) == record
+
+
+def test_progress_values_tell_the_size_that_they_were_split_with() -> None:
+    older, newer = chunk_tasks(16.0), chunk_tasks(2.0)
+    assert older != newer
+    done = open_job(100_000)
+    for index in range(0, 100_000, 7):
+        done.mark_done(index, 0.0)
+    values: dict[str, bytes] = {}
+    for number in done.dirty_chunks(older)[:1]:
+        values[chunk_name(number, older, False)] = done.chunk(number, older)
+    for number in range(5, -(-100_000 // newer)):
+        values[chunk_name(number, newer, True)] = done.chunk(number, newer)
+    assert all(is_chunk(name) for name in values) and not is_chunk("x") and not is_chunk("1@x")
+    again: OpenJob = open_job(100_000)
+    for name, content in values.items():
+        again.restore(name, older, msgspec.to_builtins(content), 5)
+        assert chunk_of(name, older)[1] == (newer if "@" in name else older)
+    assert again.done == done.done
+
+
+def test_more_progress_values_than_a_transaction_holds_keep_no_job_from_ending() -> None:
+    world = mixed([])
+    uid = submit(world, 1, pieces=4)
+    world.until(lambda: len(world.running(uid)) == 4, 20.0)
+    held = next(iter(world.controllers[world.holder()].held.values()))
+    for number in range(9):
+        held.jobs[uid].ledger[f"{number}@64"] = 0
+    world.until(lambda: world.stage(uid) == "done", 30.0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -93,6 +93,12 @@
     down: bool = False
     requests: int = 0
     changes: int = 0
+    value_bytes: int = 16 * 1024
+    txn_ops: int = 16
+    write_rps: float = 0.0  # 0: not watched
+    refusals: int = 0  # transactions that were too large
+    _saved: float = 0.0
+    _saved_at: float = 0.0
     _next: int = 0
 
     def expire(self, now: float) -> None:
@@ -120,7 +126,7 @@
         args = dict(part.partition("=")[::2] for part in query.split("&") if part)
         parsed = json.loads(body) if body else {}
         if route == "/txn":
-            return self.txn(parsed)
+            return self.txn(parsed, now)
         if route == "/leases":
             self._next += 1
             life = parsed["life_ms"] / 1000
@@ -156,10 +162,24 @@
         ]
         return {"ledger": self.ledger, "news": news}
 
-    def txn(self, parsed: dict[str, Any]) -> tuple[int, Any]:
+    def txn(self, parsed: dict[str, Any], now: float = 0.0) -> tuple[int, Any]:
         changes = parsed.get("then", [])
         self.changes += len(changes)
         assert len(changes) <= 16 and len(parsed.get("if", [])) <= 64
+        sizes = [
+            len(json.dumps(change["v"], separators=(",", ":")))
+            for change in changes
+            if "v" in change
+        ]
+        if len(changes) > self.txn_ops or max(sizes, default=0) > self.value_bytes:
+            self.refusals += 1
+            return 400, {"error": "too large"}
+        if self.write_rps:
+            self._saved += (now - self._saved_at) * self.write_rps
+            self._saved, self._saved_at = min(self._saved, self.write_rps), now
+            if len(changes) > self._saved:
+                return 429, {"error": "too many"}
+            self._saved -= len(changes)
         for change in changes:
             if change.get("tenure") is not None and change["tenure"] not in self.leases:
                 return 400, {"error": "no such lease"}
@@ -349,11 +369,14 @@
         self.workers[host] = Worker(self, host, zone, spot)
         return host
 
-    def boot(self, label: str) -> None:
+    def boot(self, label: str, older: bool = False) -> None:
+        """`older`: a process that does not know the newer record format."""
         self.boots += 1
         self.commands[label] = []
         made = settings(label, **self.facts)
         self.controllers[label] = Controller(made, f"boot-{self.boots}", lambda: self.now)
+        if older:
+            self.controllers[label].session.format = 1
 
     def crash(self, *labels: str) -> None:
         for label in labels:
@@ -390,6 +413,9 @@
             self.broken.append(f"{self.now:.2f} {piece} starts in {worker.zone}, others in {rest}")
         if spec.get("apart") and rest.count(worker.zone) + 1 > (spec["pieces"] + 1) // 2:
             self.broken.append(f"{self.now:.2f} {piece} is one too many in {worker.zone}")
+        for awaited in spec.get("awaits") or ():
+            if self.stage(awaited) != "done":
+                self.broken.append(f"{self.now:.2f} {piece} starts before {awaited} is done")
         told = self.cancelled_at.get(uid)
         if told is not None and self.now > told + 30.0:
             self.broken.append(f"{self.now:.2f} {piece} starts after its cancel")
