--- a/fallpulley/jobs/pipelines.py
+++ b/fallpulley/jobs/pipelines.py
@@ -16,6 +16,10 @@
 
 import msgspec
 
+# A path is carried back once it has grown by this share: at every new end of a chain of thousands
+# all of it was walked, and the order of the queue does not need it closer.
+PATH_STEP = 1 / 16
+
 
 class Node(msgspec.Struct, eq=False):
     """An unfinished job that awaits others, or that others await."""
@@ -136,7 +140,7 @@
                 if after is not None:
                     rank = max(rank, after.rank)
                     path_s = max(path_s, after.length_s + after.path_s)
-            if rank > node.rank or path_s > node.path_s:
+            if rank > node.rank or path_s > node.path_s * (1 + PATH_STEP):
                 node.rank, node.path_s = max(rank, node.rank), max(path_s, node.path_s)
                 changes.lifted.append(job)
                 stack.extend(node.missing)
