Records shrink before a second block is opened; limits seen early begin the newer format

Cause: at the marker an older record counted as full by the smaller limit, and the leader opened a second block, which costs more than it carries; machines to be adopted were counted at 40 bytes. A value refused for the limits to come is taken as their sign: they come after the last upgrade.

--- a/fallpulley/blocks/leadership.py
+++ b/fallpulley/blocks/leadership.py
@@ -59,7 +59,7 @@
                 self._take(label, record, stamp)
         if leading:
             self._open_wanted()
-            if not self.core.newer_format:
+            if self.registry.format < NEWER_FORMAT:
                 self._mark_format()
         self._hand_back()
 
@@ -74,6 +74,8 @@
                 self._open(label, label)
                 return
         full_bytes = FULL_RECORDS * self.core.value_bytes
+        if self.core.newer_format and self.registry.older:
+            return  # they shrink first: a second block would cost more than it carries
         if blocks and all(self.registry.filled[label] > full_bytes for label in blocks):
             # However few controllers there are, the records must hold all machines.
             more = (f"{self.core.label}.{number}" for number in itertools.count(2))
@@ -86,11 +88,13 @@
         back; nothing waits for it."""
         known = self.registry.formats
         all_know = all(known.get(label, 0) >= NEWER_FORMAT for label in self._labels)
-        if not all_know or len(self._labels) < self.core.settings.facts.nodes:
+        if len(self._labels) < self.core.settings.facts.nodes:
+            all_know = False
+        if not all_know and not self.core.newer_format:
             return
         if not self._guard(FORMAT):
             return
-        log.info("records every controller knows the newer format")
+        log.info("records newer format is marked seen=%s", known)
         self.core.lane.write(
             Write(
                 {FORMAT: self.view.stamp(FORMAT)},
--- a/fallpulley/blocks/messages.py
+++ b/fallpulley/blocks/messages.py
@@ -61,6 +61,7 @@
     # a holder cut off with half the machines went on answering them while its successor came
     # and ended, and that end was taken for its own.
     earlier: list[Former] = []
+    newer: bool = False  # it was read in the newer format
 
     def encode(self, newer: bool, most_bytes: int) -> bytes:
         """In the newer format once every controller reads it. Where addresses follow no pattern
@@ -213,7 +214,7 @@
     try:
         if wire.runs:
             kinds = msgspec.json.decode(zlib.decompress(wire.runs), type=list[_Kind])
-            return BlockRecord(wire.holder, wire.boot, _machines(kinds), wire.earlier)
+            return BlockRecord(wire.holder, wire.boot, _machines(kinds), wire.earlier, True)
         groups = msgspec.json.decode(zlib.decompress(wire.packed), type=list[_Group])
     except zlib.error as error:
         raise msgspec.DecodeError(str(error)) from None
--- a/fallpulley/blocks/registry.py
+++ b/fallpulley/blocks/registry.py
@@ -34,6 +34,7 @@
         self.leader: tuple[Session, int] | None = None
         self.blocks: dict[str, tuple[BlockRecord, int]] = {}
         self.filled: dict[str, int] = {}  # block -> bytes of its record's value
+        self.older: set[str] = set()  # blocks whose records are in the older format
         self.host_block: dict[str, str] = {}
         self.homes: dict[str, str] = {}
         self.retired: dict[str, str] = {}  # machine to be released -> its record's key
@@ -47,7 +48,12 @@
         if key.startswith(BLOCKS):
             label = key[len(BLOCKS) :]
             self.filled[label] = len(value or b"")
-            self._on_block(label, _block(value), stamp)
+            record = _block(value)
+            if record is not None and not record.newer:
+                self.older.add(label)
+            else:
+                self.older.discard(label)
+            self._on_block(label, record, stamp)
         elif key.startswith(SESSIONS):
             label = key[len(SESSIONS) :]
             session = _decode(value, Session)
@@ -68,9 +74,9 @@
         elif key.startswith(RETIRED):
             for host in self.retiring.pop(key, ()):
                 self.retired.pop(host, None)
-            record = _decode(value, Retired)
-            if record is not None:
-                hosts = record.hosts or [key[len(RETIRED) :]]
+            going = _decode(value, Retired)
+            if going is not None:
+                hosts = going.hosts or [key[len(RETIRED) :]]
                 self.retiring[key] = hosts
                 self.retired.update(dict.fromkeys(hosts, key))
         elif key.startswith(TEAMS):
--- a/fallpulley/blocks/shares.py
+++ b/fallpulley/blocks/shares.py
@@ -16,6 +16,8 @@
 # Bytes that a machine adds to its block's record at the most, with a name and an address of the
 # usual length; packed, neighbours take a fifth of it.
 ENTRY_BYTES = 40
+# The same in the newer format: measured 1 to 3, and addresses that do not fit are left out.
+ENTRY_BYTES_NEWER = 8
 # With all records filled beyond this share a further block is opened, whoever holds it.
 FULL_RECORDS = 0.8
 
--- a/fallpulley/blocks/writer.py
+++ b/fallpulley/blocks/writer.py
@@ -8,7 +8,7 @@
 
 from fallpulley.blocks.messages import BlockRecord, MachineEntry, Retired
 from fallpulley.blocks.registry import BLOCKS, RETIRED, Registry
-from fallpulley.blocks.shares import ENTRY_BYTES
+from fallpulley.blocks.shares import ENTRY_BYTES, ENTRY_BYTES_NEWER
 from fallpulley.core import Core
 from fallpulley.state.lane import TXN_BYTES, Change, Order, Write
 from fallpulley.state.view import View
@@ -88,7 +88,14 @@
     def has_room(self, block: str) -> bool:
         """The block's record can take one machine more."""
         coming = len(self.adding.get(block, ())) + 1
-        return self.registry.filled.get(block, 0) + coming * ENTRY_BYTES <= self.core.value_bytes
+        if not self.core.newer_format:
+            return (
+                self.registry.filled.get(block, 0) + coming * ENTRY_BYTES <= self.core.value_bytes
+            )
+        if block in self.registry.older:
+            return True  # it shrinks with its next change
+        filled = self.registry.filled.get(block, 0)
+        return filled + coming * ENTRY_BYTES_NEWER <= self.core.value_bytes
 
     def coming(self, host: str) -> bool:
         return any(host in hosts for hosts in self.adding.values())
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -443,7 +443,7 @@
                 held.fence(self.writer.addresses)
             if held.formers_silent():
                 self.writer.alone.add(held.label)
-            if held.touch:
+            if held.touch or (self.core.newer_format and held.label in self.registry.older):
                 self.writer.touching.add(held.label)
             self.job_keeper.tick(held, self.desk.derived.get(held.label, {}))
             if self.session.live():
--- a/fallpulley/core.py
+++ b/fallpulley/core.py
@@ -39,6 +39,9 @@
             self.lesser.txn_ops,
             self.effects.append,
         )
+        if self.lesser.value_kb < facts.state.value_kb:
+            self.lane.small_bytes = self.lesser.value_kb * 1024
+            self.lane.on_limits = self._limits_seen
         workers = facts.workers
         self.report_s = workers.report_s
         self.lease_s = workers.lease_s
@@ -63,6 +66,12 @@
         limits = self.lesser if self.newer_format else facts.state
         return int(limits.value_kb * 1024 * VALUE_SHARE)
 
+    def _limits_seen(self) -> None:
+        """A value was refused that was allowed before. The limits to come come only after the last
+        controller was brought over, whether or not all have been seen: no older one is left."""
+        log.info("state limits have come value_kb=%g", self.lesser.value_kb)
+        self.begin_newer_format()
+
     def begin_newer_format(self) -> None:
         if self.newer_format:
             return
--- a/fallpulley/state/lane.py
+++ b/fallpulley/state/lane.py
@@ -100,6 +100,10 @@
         self.at = now
 
 
+def _nobody() -> None:
+    pass
+
+
 class Lane:
     def __init__(
         self,
@@ -118,6 +122,9 @@
         self._writes: dict[Order, deque[Write]] = {order: deque() for order in Order}
         self._reads: dict[Order, deque[_Read]] = {order: deque() for order in Order}
         self.timeout_s = 1.5
+        # Values above this size are refused once the limits to come have come, and who is to know.
+        self.small_bytes = float("inf")
+        self.on_limits: Callable[[], None] = _nobody
         # Limits to come, by rates of requests and changes: taken once the service shows them.
         self._to_come: tuple[float, float] | None = None
 
@@ -251,6 +258,9 @@
             for write in reversed(group):
                 self._writes[write.order].appendleft(write)
             return
+        values = (change.value or b"" for write in group for change in write.changes)
+        if status == 400 and any(len(value) > self.small_bytes for value in values):
+            self.on_limits()
         if status == 400 and len(group) > 1:
             for write in reversed(group):
                 write.alone = True
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -448,6 +448,8 @@
     held = next(iter(world.controllers[world.holder()].held.values()))
     before = (held.machines[host].shift, held.machines[host].tick)
     assert replay(world, world.holder(), body) == [503]
+    # As an answer of `/do` that was held up it is no news either.
+    held._direct_answer(held.machines[host], 200, body)
     assert (held.machines[host].shift, held.machines[host].tick) >= before
     world.until(lambda: world.stage(uid) == "done", 60.0)
     assert len(world.starts_seen) == 4
