--- a/fallpulley/blocks/messages.py
+++ b/fallpulley/blocks/messages.py
@@ -193,16 +193,26 @@
     return list(kinds.values())
 
 
+# Both caches: every controller reads every change of a record, and nearly all of it stayed the
+# same. Decoding 600 machines took 4.5 ms without, 1.3 with, 1.0 in the older format.
+@functools.lru_cache(maxsize=4096)
+def _machine(
+    prefix: str, width: int, number: int, ip: int, port: int, what: tuple[str, str, bool, bool]
+) -> tuple[str, MachineEntry]:
+    return _host(prefix, width, number), MachineEntry(_address(ip, port) if port else "", *what)
+
+
 def _machines(kinds: list[_Kind]) -> dict[str, MachineEntry]:
     machines: dict[str, MachineEntry] = {}
     for kind in kinds:
         what = (kind.build, kind.zone, kind.spot, kind.used)
         for run in kind.runs:
+            prefix, width, offset, port = run.prefix, run.width, run.offset, run.port
             number = 0
             for step in run.steps:
                 number += step
-                addr = _address(run.offset + number, run.port) if run.port else ""
-                machines[_host(run.prefix, run.width, number)] = MachineEntry(addr, *what)
+                host, entry = _machine(prefix, width, number, offset + number, port, what)
+                machines[host] = entry
         for host, addr in kind.rest.items():
             machines[host] = MachineEntry(addr, *what)
     return machines
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -124,16 +124,19 @@
     now, wall_ms = core.now, core.wall * 1000
     found: list[Waiting] = []
     kinds = kinds_of(slots)
-    # Tasks that we cannot see, or cannot ascribe to a team, may use up a limit.
-    unclear = bool(held.unproven) or not held.loaded or held.strangers()
+    unclear: bool | None = None  # looked at only where a team has a limit
     for job in held.jobs.values():
         if job.withdrawn or job.finished or now < job.retry_at or held.doubtful(job):
             continue
         if job.awaiting:
             continue
         team = teams.get(job.spec.crew)
-        if team is not None and team.limited and unclear:
-            continue
+        if team is not None and team.limited:
+            if unclear is None:
+                # Tasks that we cannot see, or cannot ascribe to a team, may use up the limit.
+                unclear = bool(held.unproven) or not held.loaded or held.strangers()
+            if unclear:
+                continue
         tasks = job.waiting_count()
         if not tasks or job.broken:
             continue
