--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -512,7 +512,7 @@
         machine.tick += 60  # as if newer answers of `/do` had come before all its reports
         world.no_direct.add(host)
     cancel(world, "node-1", uid)
-    world.until(lambda: not world.running(uid), 5.0)
+    world.until(lambda: not world.running(uid), 2.0)
 
 
 # -- other meetings --------------------------------------------------------------------------
