--- a/tests/world.py
+++ b/tests/world.py
@@ -97,6 +97,7 @@
     txn_ops: int = 16
     write_rps: float = 0.0  # 0: not watched
     refusals: int = 0  # transactions that were too large
+    too_many: int = 0  # and those beyond the rate
     _saved: float = 0.0
     _saved_at: float = 0.0
     _next: int = 0
@@ -178,6 +179,7 @@
             self._saved += (now - self._saved_at) * self.write_rps
             self._saved, self._saved_at = min(self._saved, self.write_rps), now
             if len(changes) > self._saved:
+                self.too_many += 1
                 return 429, {"error": "too many"}
             self._saved -= len(changes)
         for change in changes:
