A pipeline's deadline reaches back to its steps, and lends them its priority once it presses

Change: a job has to be done by the least deadline of all that need it, less the paths between (Node.due_at, kept like rank and path, on records alone). It takes their priority once less than 1.5 times the rest of the path is left, for good; without a deadline at once, as before. When one that needs it is withdrawn, rank, path and deadline are reckoned anew (they only ever rose before).

--- a/fallpulley/jobs/open.py
+++ b/fallpulley/jobs/open.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import math
 from collections import deque
 
 from fallpulley.jobs.messages import ENSEMBLE, RANKS, JobRecord, Submission
@@ -14,6 +15,8 @@
 CHUNK_SHARE = 0.6
 # A job that fails on several machines waits longer each time, up to so many lease lengths.
 PAUSE_MOST = 6.0
+# A pipeline's deadline presses once so many times the rest of its path is all the time left.
+PRESSED_PATHS = 1.5
 
 
 def chunk_tasks(value_kb: float) -> int:
@@ -70,6 +73,8 @@
         self.unsaved_since: float | None = None
         self.ledger: dict[str, int] = {}  # progress value -> stamp
         self.node = node  # its place in a pipeline, if it has one
+        # The jobs that need it lend it their priority.
+        self.pressed = False
         self.remaining_s = float("inf")
         self.remaining_key: tuple[object, ...] = ()
 
@@ -85,8 +90,22 @@
 
     @property
     def rank(self) -> int:
-        """The highest priority of its own and of all jobs that need it."""
-        return RANKS[self.spec.rank] if self.node is None else self.node.rank
+        """The highest priority of its own and, while their deadline presses, of all jobs that
+        need it."""
+        if self.node is None:
+            return RANKS[self.spec.rank]
+        if self.pressed or math.isinf(self.node.due_at):
+            return self.node.rank
+        return self.node.own_rank
+
+    def press(self, wall: float) -> None:
+        """Let those that need it lend it their priority once their deadline leaves too little time
+        for the rest of the path. For good: one that changed sides from plan to plan would be
+        stopped and started again."""
+        if self.node is None or self.pressed:
+            return
+        left_s = self.node.due_at + self.node.path_s - wall
+        self.pressed = left_s < PRESSED_PATHS * (self.remaining_s + self.node.path_s)
 
     @property
     def path_s(self) -> float:
--- a/fallpulley/jobs/service.py
+++ b/fallpulley/jobs/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import Any
 
 import msgspec
@@ -26,7 +27,7 @@
     named_job,
     parse_submission,
 )
-from fallpulley.jobs.pipelines import Pipelines
+from fallpulley.jobs.pipelines import Node, Pipelines
 from fallpulley.settings import Team
 from fallpulley.state.client import Change, Priority, Write
 from fallpulley.state.view import View
@@ -120,11 +121,9 @@
             if not spec.awaits and job not in self.pipelines.needed_by:
                 return
             for name in spec.awaits or ():
-                self._node_of(name)
+                self._join(name)
             log.info("job awaits job=%s others=%s", job, ",".join(spec.awaits or ()))
-            changes = self.pipelines.opened(
-                job, spec.awaits or [], known.at_ms, RANKS[spec.rank], self._length_s(spec)
-            )
+            changes = self.pipelines.opened(job, spec.awaits or [], self._node_of(known, spec))
         elif known.stage == DONE:
             changes = self.pipelines.done(job, known.end_ms or round(self.core.wall * 1000))
         elif known.stage == WITHDRAWN:
@@ -137,12 +136,19 @@
             self._derive_withdrawn(name, job)
         self.touched.update(changes.ready, changes.withdrawn, changes.lifted)
 
-    def _node_of(self, job: str) -> None:
+    def _join(self, job: str) -> None:
         """A job that is awaited takes part in its pipeline, though it awaits none itself."""
         known = self.known.get(job)
         if known is not None and known.record is not None and known.record.spec is not None:
-            spec = known.record.spec
-            self.pipelines.awaited(job, known.at_ms, RANKS[spec.rank], self._length_s(spec))
+            self.pipelines.awaited(job, self._node_of(known, known.record.spec))
+
+    def _node_of(self, known: Known, spec: Submission) -> Node:
+        """A job as it stands alone, without those that need it."""
+        rank = RANKS[spec.rank]
+        due_at = known.at_ms / 1000 + spec.due_s if spec.due_s is not None else math.inf
+        return Node(
+            known.at_ms, rank, self._length_s(spec), own_due_at=due_at, rank=rank, due_at=due_at
+        )
 
     def _length_s(self, spec: Submission) -> float:
         """A task's estimated fetch and run time (T 3-1: transfer cost and mean run time)."""
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -179,6 +179,7 @@
     if key != job.remaining_key:
         job.remaining_key = key
         job.remaining_s = remaining_time(job.need, estimate, left, kinds)
+    job.press(core.wall)
     waited = (wall_ms - job.since_ms) / 1000
     avoid = job.failed_on or None
     if avoid is not None and avoid >= held.machines.keys():
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import json
+import math
 import random
 
 import pytest
 
-from fallpulley.jobs.pipelines import Pipelines
+from fallpulley.jobs.pipelines import Node, Pipelines
 from tests.test_day_end import started
 from tests.test_meetings import cancel, stages
 from tests.test_stories import others, ready, submit
@@ -203,8 +204,8 @@
                 if stage[name] == "open":
                     for other in awaits[name]:
                         if stage.get(other) == "open" and other not in lost:
-                            pipelines.awaited(other, 1, 1, 1.0)
-                    changes = pipelines.opened(name, awaits[name], 1, 1, 1.0)
+                            pipelines.awaited(other, Node(1, 1, 1.0))
+                    changes = pipelines.opened(name, awaits[name], Node(1, 1, 1.0))
                 elif stage[name] == "done":
                     changes = pipelines.done(name, 5)
                 else:
@@ -223,9 +224,9 @@
     lost: set[str] = set()
     pipelines = Pipelines(lambda name: None, lambda name: name in lost)
     for n in range(5000):
-        pipelines.awaited(f"job-{n}", 0, 1, 1.0)
-        pipelines.opened(f"job-{n + 1}", [f"job-{n}"], 0, 1, 1.0)
-    pipelines.opened("job-9999", ["job-5000"], 0, 3, 1.0)
+        pipelines.awaited(f"job-{n}", Node(0, 1, 1.0))
+        pipelines.opened(f"job-{n + 1}", [f"job-{n}"], Node(0, 1, 1.0))
+    pipelines.opened("job-9999", ["job-5000"], Node(0, 3, 1.0))
     assert pipelines.nodes["job-0"].rank == 3 and pipelines.nodes["job-0"].path_s > 16.0
     assert len(pipelines.withdrawn("job-0").withdrawn) == 5001
     assert not pipelines.nodes and not any(pipelines.needed_by.values())
@@ -237,3 +238,38 @@
     jobs = world.controllers["node-0"].jobs
     assert not jobs.pipelines.nodes and not jobs.pipelines.needed_by
     assert "awaits" not in json.dumps(world.state.data["live/job/job-000001"][0])
+
+
+def test_a_deadline_reaches_back_less_the_path_after_and_no_further_than_its_job_lives() -> None:
+    lost: set[str] = set()
+    pipelines = Pipelines(lambda name: None, lambda name: name in lost)
+
+    def node(length_s: float, due_at: float = math.inf) -> Node:
+        return Node(0, 1, length_s, own_due_at=due_at, rank=1, due_at=due_at)
+
+    pipelines.awaited("job-1", node(9.0))
+    pipelines.opened("job-2", ["job-1"], node(5.0))
+    assert math.isinf(pipelines.nodes["job-1"].due_at)
+    pipelines.opened("job-3", ["job-2"], node(7.0, due_at=100.0))
+    assert pipelines.nodes["job-2"].due_at == 100.0 - 7.0
+    assert pipelines.nodes["job-1"].due_at == 100.0 - 7.0 - 5.0
+    # A second pipeline of which the first job is a part presses more, until it is called off.
+    pipelines.opened("job-4", ["job-1"], Node(0, 3, 2.0, own_due_at=60.0, rank=3, due_at=60.0))
+    assert (pipelines.nodes["job-1"].rank, pipelines.nodes["job-1"].due_at) == (3, 58.0)
+    assert pipelines.withdrawn("job-4").lifted == ["job-1"]
+    assert (pipelines.nodes["job-1"].rank, pipelines.nodes["job-1"].due_at) == (1, 88.0)
+
+
+@pytest.mark.parametrize("due_s", [40.0, 400.0])
+def test_a_step_takes_its_pipelines_priority_only_while_the_deadline_presses(due_s: float) -> None:
+    """Also at a successor, which knows of it from records alone."""
+    world = pipeline_world()
+    blocker = submit(world, 9, pieces=4)
+    world.times[blocker] = 24.0
+    world.until(lambda: len(world.running(blocker)) == 4, 20.0)
+    first = submit(world, 1, pieces=4, rank="best_effort", expect_s=9.0)
+    urgent = submit(world, 2, pieces=4, rank="high", expect_s=30.0)
+    submit(world, 3, awaits=[first], rank="high", expect_s=8.0, due_s=due_s)
+    world.crash(world.holder())
+    world.until(lambda: started(world, first) + started(world, urgent) >= 4, 60.0)
+    assert started(world, first if due_s < 100.0 else urgent) == 4
