Holders have half of the budget of changes to themselves

Change: half of the budget is split equally, the other half among holders, once the newer format has begun (an older version in production knows equal shares alone). The parts always add up.

--- a/fallpulley/blocks/shares.py
+++ b/fallpulley/blocks/shares.py
@@ -18,6 +18,9 @@
 ENTRY_BYTES = 40
 # The same in the newer format: measured 1 to 3, and addresses that do not fit are left out.
 ENTRY_BYTES_NEWER = 8
+# Of the budget of changes to the state service, the share that is split equally among controllers
+# for what users ask; the rest belongs to holders, who write marks, progress and ends of jobs.
+EQUAL_WRITES = 0.5
 # With all records filled beyond this share a further block is opened, whoever holds it.
 FULL_RECORDS = 0.8
 
@@ -58,3 +61,12 @@
         sizes[label] += max(0, add)
         rest -= max(0, add)
     return sizes
+
+
+def write_share(label: str, holders: set[str], nodes: int) -> float:
+    """A controller's part of the budget of changes, 1 where all take the same. The parts of
+    `nodes` controllers add up to `nodes`."""
+    if not holders:
+        return 1.0
+    extra = (1.0 - EQUAL_WRITES) * nodes / len(holders) if label in holders else 0.0
+    return EQUAL_WRITES + extra
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -16,7 +16,7 @@
 from fallpulley.blocks.messages import NEWER_FORMAT, Former
 from fallpulley.blocks.registry import BLOCKS, FORMAT, SESSIONS, Registry
 from fallpulley.blocks.session import SessionLease
-from fallpulley.blocks.shares import target_sizes
+from fallpulley.blocks.shares import target_sizes, write_share
 from fallpulley.blocks.writer import BlockWriter
 from fallpulley.core import Core
 from fallpulley.effects import Command, Effect, PeerMessage, Request, Result
@@ -253,10 +253,12 @@
         self.registry.on_key(key, value, stamp)
         if key.startswith(BLOCKS):
             self._on_block(key[len(BLOCKS) :], previous)
+            self._share_writes()
         elif key.startswith(SESSIONS):
             self._check_old_holders()
         elif key == FORMAT and self.registry.format >= NEWER_FORMAT:
             self.core.begin_newer_format()
+            self._share_writes()
 
     def _on_job(self, job: str, value: bytes | None, stamp: int) -> None:
         if self.jobs.on_record(job, value, stamp) is None:
@@ -282,6 +284,15 @@
             open_job.node = self.jobs.pipelines.node(job)
             held.dirty = True
 
+    def _share_writes(self) -> None:
+        """Holders write most. A version in production that knows equal shares alone may run until
+        the newer format begins."""
+        if not self.core.newer_format:
+            return
+        holders = {record.holder for record, _ in self.registry.blocks.values()}
+        nodes = max(1, self.core.settings.facts.nodes)
+        self.core.state.changes.take_share(write_share(self.core.label, holders, nodes))
+
     def _on_block(self, label: str, previous: tuple[str, str] | None) -> None:
         core = self.core
         entry = self.registry.blocks.get(label)
--- a/fallpulley/state/client.py
+++ b/fallpulley/state/client.py
@@ -84,13 +84,21 @@
     """Tokens for one budget: `rate` a second, saving up at most one second's worth."""
 
     def __init__(self, rate: float) -> None:
+        self.equal_rate = rate  # where every controller takes the same
+        self.share = 1.0  # of the equal rate
         self.rate = rate
         self.most = max(rate, 1.0)
         self.tokens = self.most
         self.at: float | None = None
 
     def lower(self, rate: float) -> None:
-        self.rate = min(self.rate, rate)
+        self.equal_rate = min(self.equal_rate, rate)
+        self.take_share(self.share)
+
+    def take_share(self, share: float) -> None:
+        """More or less than the equal rate: the shares of all controllers add up."""
+        self.share = share
+        self.rate = self.equal_rate * share
         self.most = max(self.rate, 1.0)
         self.tokens = min(self.tokens, self.most)
 
@@ -137,7 +145,7 @@
         come have come."""
         if self._to_come is not None:
             rps, write_rps = self._to_come
-            if write_rps < self.changes.rate or rps < self.requests.rate:
+            if write_rps < self.changes.equal_rate or rps < self.requests.equal_rate:
                 log.info("state limits have come rps=%.1f write_rps=%.1f", rps, write_rps)
             self.requests.lower(rps)
             self.changes.lower(write_rps)
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -8,7 +8,12 @@
 import msgspec
 import pytest
 
-from fallpulley.blocks.shares import blocks_wanted, machines_per_block, target_sizes
+from fallpulley.blocks.shares import (
+    blocks_wanted,
+    machines_per_block,
+    target_sizes,
+    write_share,
+)
 from fallpulley.cli import main
 from fallpulley.effects import Call
 from fallpulley.fleet.messages import MachineType
@@ -16,7 +21,7 @@
 from fallpulley.jobs.messages import JobRecord, parse_submission
 from fallpulley.jobs.open import OpenJob, chunk_tasks
 from fallpulley.settings import SettingsError, load
-from fallpulley.state.client import Change, Priority, StateClient, Write
+from fallpulley.state.client import Bucket, Change, Priority, StateClient, Write
 from fallpulley.wire.limit import AdaptiveLimit
 from fallpulley.workers.machine import Run
 from tests.world import job, settings
@@ -133,6 +138,20 @@
     assert sum(call.body.count(b'"set"') for call in sent if call.body) <= 11
 
 
+def test_parts_of_the_write_budget_add_up_and_a_lower_limit_is_shared_alike() -> None:
+    for holders in (set(), {"a"}, {"a", "c"}, {"a", "b", "c"}):
+        parts = {label: write_share(label, holders, 3) for label in "abc"}
+        assert sum(parts.values()) == pytest.approx(3.0)
+        assert all(parts[label] == max(parts.values()) for label in holders)
+    bucket = Bucket(9.0)
+    bucket.take_share(write_share("a", {"a"}, 3))
+    assert bucket.rate == pytest.approx(18.0) and bucket.tokens <= 9.0
+    bucket.lower(6.0)
+    assert bucket.rate == pytest.approx(12.0)
+    bucket.take_share(write_share("a", {"b"}, 3))
+    assert bucket.rate == pytest.approx(3.0) and bucket.tokens <= 3.0
+
+
 def test_a_conflict_in_a_group_fails_only_the_write_it_belongs_to() -> None:
     sent: list[Call] = []
     state = StateClient("state", 10.0, 50.0, 16, sent.append)  # type: ignore[arg-type]
