Warm standby: followers keep a replica of the holder's decisions; off unless turned on

At a takeover it says whom to ask first and what was learned; it proves nothing: machines are used once they have reported under the new token, as before. Sessions are 2.5 s at the most. deploy/fallpulley.toml is built into the deployed copy and overridden by the operators' file. Controllers without a standby and older versions drop the messages.

The world now also watches that no machine gets a task before it has reported under the new token.

--- a/fallpulley/blocks/held.py
+++ b/fallpulley/blocks/held.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from fallpulley.blocks.decisions import IGNORED_DECISIONS, DecisionSink
 from fallpulley.blocks.messages import BlockRecord, MachineEntry
 from fallpulley.core import DRIFT, Core
 from fallpulley.jobs.messages import ENSEMBLE, SERVICE, JobRecord, split_piece
@@ -63,6 +64,12 @@
         self.touch = False  # a newer stamp of the record is wanted, to raise tokens with
         self.marks_due = True  # what may hold tasks has changed: the record's marks are to follow
         self.corrections = Corrections()
+        self.decisions: DecisionSink = IGNORED_DECISIONS
+
+    @property
+    def first_attempt(self) -> int:
+        """Attempts of this holder have this number or a higher one."""
+        return self.taken_stamp << COUNTER_BITS
 
     # -- jobs ------------------------------------------------------------------------------
 
@@ -130,10 +137,12 @@
                 machine = self.machines.pop(host)
                 self.lose_runs(machine, "left")
                 self.unproven.discard(host)
+                self.decisions.machine_released(host)
         for host, entry in record.machines.items():
             if host not in self.machines:
                 self.machines[host] = Machine(host, entry, stamp, self.core.now)
                 log.info("machine granted machine=%s block=%s term=%d", host, self.label, stamp)
+                self.decisions.machine_granted(host)
             elif self.machines[host].deaf_since is not None and self.machines[host].settled:
                 self.machines[host].raise_token(stamp)
         self.dirty = True
@@ -184,6 +193,7 @@
                 log.info("machine silent machine=%s", machine.host)
                 machine.up = False
                 machine.images.clear()
+                self.decisions.machine_reachable(machine.host, False)
                 self.lose_runs(machine, "lease")
         if self.unproven and min(now, fresh_at) > self.empty_at:
             # Our own answers renew leases too, even of machines that have not reported since.
@@ -274,6 +284,7 @@
             if not machine.up:
                 self.dirty = self.marks_due = True
                 log.info("machine up machine=%s shift=%d", machine.host, machine.shift)
+                self.decisions.machine_reachable(machine.host, True)
             machine.up = machine.ever_up = True
             machine.heard_at = self.core.now
 
@@ -307,6 +318,7 @@
             return
         if run is not None:
             job.runs.pop(run.index, None)
+            self.decisions.task_left(run, piece.cause or "")
         if piece.cause == "done":
             if job.mark_done(named[1], self.core.now):
                 log.debug("task done task=%s machine=%s", piece.piece, machine.host)
@@ -333,7 +345,10 @@
         machine.learn_speed(took / expected)
         job.observed += 1
         job.observed_s += took
-        self.corrections.learn(job.spec.jobclass, job.spec.expect_s, took)
+        jobclass = job.spec.jobclass
+        self.corrections.learn(jobclass, job.spec.expect_s, took)
+        self.decisions.run_time_learned(job.job, job.observed, job.observed_s)
+        self.decisions.class_learned(jobclass, self.corrections.factor(jobclass))
 
     def _on_unaccounted(self, machine: Machine, piece: PieceState) -> None:
         """A task on the machine that we did not start in this life: keep it or stop it."""
@@ -363,6 +378,7 @@
         )
         job.runs[run.index] = run
         machine.runs[run.piece] = run
+        self.decisions.task_started(run)
         self.dirty = True
         log.info("task adopted task=%s machine=%s", run.piece, machine.host)
 
@@ -371,6 +387,7 @@
         if job is None or job.runs.get(run.index) is not run:
             return
         del job.runs[run.index]
+        self.decisions.task_left(run, "gone")
         job.put_back(run.index)
         self.dirty = True
         if job.withdrawn and not job.runs:
@@ -409,6 +426,7 @@
         )
         job.runs[booking.index] = run
         machine.runs[run.piece] = run
+        self.decisions.task_started(run)
         machine.ordered = True
         machine.slot = None
         log.debug("task ordered task=%s machine=%s", run.piece, machine.host)
@@ -418,6 +436,7 @@
     def stop(self, run: Run, windup_s: float) -> None:
         """Stop with the next orders, and directly now if the machine can be reached."""
         run.stopping = windup_s
+        self.decisions.task_stopped(run)
         machine = self.machines.get(run.host)
         if machine is not None:
             machine.slot = None
@@ -432,6 +451,7 @@
         for name in pieces:
             run = machine.runs[name]
             run.stopping = 0.0
+            self.decisions.task_stopped(run)
             orders.append(Order("stop", run.piece, run.attempt, 0.0))
             log.info("task preempted task=%s machine=%s", run.piece, host)
         if machine.entry.addr:
--- a/fallpulley/blocks/leadership.py
+++ b/fallpulley/blocks/leadership.py
@@ -4,6 +4,7 @@
 
 import itertools
 import logging
+from collections.abc import Callable
 
 import msgspec
 
@@ -35,6 +36,9 @@
         self._labels = sorted({core.label, *(seed.label for seed in core.settings.seeds)})
         self._busy: dict[str, float] = {}
         self._spare_since: tuple[str, float] | None = None
+        self._leaderless_since: float | None = None
+        # How long to leave a free lead to others (warm standby).
+        self.hold_off_s: Callable[[], float] = lambda: 0.0
 
     @property
     def term(self) -> int | None:
@@ -48,9 +52,14 @@
         if not self.view.ready or not self.session.live():
             return
         leader = self.registry.leader
-        if leader is None or (
+        ours_of_old = leader is not None and (
             leader[0].label == self.core.label and leader[0].boot != self.core.boot
-        ):
+        )
+        if leader is not None:
+            self._leaderless_since = None
+        elif self._leaderless_since is None:
+            self._leaderless_since = self.core.now
+        if ours_of_old or self._lead_is_free():
             self._lead()
         leading = self.term is not None
         for label, (record, stamp) in self.registry.blocks.items():
@@ -63,6 +72,11 @@
                 self._mark_format()
         self._hand_back()
 
+    def _lead_is_free(self) -> bool:
+        """Nobody leads, and whoever should go first has had the time."""
+        since = self._leaderless_since
+        return since is not None and self.core.now >= since + self.hold_off_s()
+
     def _open_wanted(self) -> None:
         """Open as many blocks as the machines need, for controllers that hold none."""
         blocks = self.registry.blocks
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -7,7 +7,7 @@
 
 import logging
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -33,8 +33,13 @@
 from fallpulley.workers.machine import Machine
 from fallpulley.workers.messages import Foreman, Order, Orders, Report, parse_report
 
+if TYPE_CHECKING:
+    from fallpulley.standby.service import Standby
+
 log = logging.getLogger(__name__)
 
+# How messages between standbys begin.
+STANDBY_TAGS = b'["standby_'
 # A watch returns at least so often within a session: its return proves the copy fresh.
 HOLDS_PER_SESSION = 3.0
 # Machines, jobs and records are looked over so often within a report interval.
@@ -86,6 +91,7 @@
         self.autoscaler = Autoscaler(core, self.registry, self.writer, self.provider)
         self.job_persistence = JobPersistence(core)
         self.peers = Peers(core)
+        self.standby = self._start_standby()
         self.held: dict[str, HeldBlock] = {}
         self._formers: dict[str, list[Former]] = {}  # block -> holders before us
         # Check-ins to be answered: ticket, block, machine, newer report, until when to wait.
@@ -193,7 +199,21 @@
         last = min(self.session.renewed_at, self.view.fresh_at)
         return self.core.now < last + self.core.window_s
 
+    def _start_standby(self) -> Standby | None:
+        """Only a controller that is to have one loads what a standby needs."""
+        if not self.core.settings.operators.standby.enabled:
+            return None
+        from fallpulley.standby.service import Standby
+
+        standby = Standby(self.core, self.registry, self.peers.send)
+        self.leadership.hold_off_s = standby.hold_off_s
+        return standby
+
     def _peer(self, body: bytes) -> None:
+        if body.startswith(STANDBY_TAGS):
+            if self.standby is not None:
+                self.standby.take(body)
+            return
         heartbeat = self.peers.take(body)
         if isinstance(heartbeat, CalledOff):
             self._call_off(heartbeat.jobs)
@@ -303,6 +323,8 @@
                 log.info("block lost block=%s term=%d", label, held.token)
                 del self.held[label]
                 self.writer.drop_block(label)
+                if self.standby is not None:
+                    self.standby.block_lost(label)
             return
         record, stamp = entry
         if held is not None:
@@ -320,6 +342,8 @@
         )
         for job in self.jobs.open_by_block.get(label, ()):
             self._add_job(held, job, self.jobs.known[job])
+        if self.standby is not None:
+            self.standby.block_held(held, previous)
         self._check_old_holders()
 
     def _check_old_holders(self) -> None:
@@ -450,10 +474,10 @@
             ):
                 continue
             orders.append(held.start(machine, job, booking, held.estimate(job)))
-            self._expect_image(machine, job.spec.kit, job.spec.size_gb)
+            self._expect_image(held, machine, job.spec.kit, job.spec.size_gb)
         return orders
 
-    def _expect_image(self, machine: Machine, image: str, size_gb: float) -> None:
+    def _expect_image(self, held: HeldBlock, machine: Machine, image: str, size_gb: float) -> None:
         kind = self.registry.types.get(machine.entry.build)
         if kind is None:
             return
@@ -461,6 +485,7 @@
             now = self.core.now
             begin = max([now, *machine.fetching.values()])
             machine.fetching[image] = begin + size_gb / max(kind.fetch_gb_per_s, 1e-3)
+            held.decisions.image_cached(machine.host, image, size_gb)
         machine.remember_image(image, size_gb, kind.cache_gb)
 
     # -- ticks -----------------------------------------------------------------------------
@@ -468,6 +493,8 @@
     def _tick(self) -> None:
         self.view.tick(self.core.now)
         self.session.tick()
+        if self.standby is not None:
+            self.standby.tick()
         if self._parked:
             self._unpark()
         # What looks at every machine and job runs by the clock, not with every batch.
@@ -569,9 +596,9 @@
             knocks = self.core.now < machine.unfenced_at + self.core.lease_s
             may_hold = machine.up or bool(machine.runs) or host in held.unproven or knocks
             if (machine.usable or knocks) and not wished:
-                self.writer.mark(held.label, host, True)
+                self._mark(held, host, True)
             elif not may_hold and wished and machine.got_at < self.core.now:
-                self.writer.mark(held.label, host, False)
+                self._mark(held, host, False)
             if machine.leaving and not self.writer.leaving(held.label, host):
                 machine.leaving = False  # its move was called off
                 held.dirty = True
@@ -582,6 +609,10 @@
         # A mark on its way counts once the writer has seen it in the record: look again then.
         held.marks_due = bool(self.writer.marks.get(held.label))
 
+    def _mark(self, held: HeldBlock, host: str, used: bool) -> None:
+        self.writer.mark(held.label, host, used)
+        held.decisions.machine_marked(host, used)
+
     def _prompt_reports(self, held: HeldBlock) -> None:
         """Machines with new bookings are asked to report now instead of when it is their turn."""
         soon = self.core.now + PROMPT_REPORTS * self.core.report_s
--- a/fallpulley/core.py
+++ b/fallpulley/core.py
@@ -51,6 +51,9 @@
         self.window_s = workers.cancel_s - workers.lease_s - self.slack_s
         # A controller's session ends this long after its last renewal.
         self.session_s = settings.operators.session_share * workers.lease_s
+        standby = settings.operators.standby
+        if standby.enabled:
+            self.session_s = min(self.session_s, standby.session_s)
         # A worker's lease is certainly over this long after the last answer to it.
         self.lease_over_s = workers.lease_s * DRIFT + 0.25 * workers.report_s
 
--- a/fallpulley/mesh/peers.py
+++ b/fallpulley/mesh/peers.py
@@ -43,26 +43,23 @@
             )
         )
         for seed in self.core.settings.seeds:
-            self.core.call(
-                seed.address, "POST", "/beat", body, HEARTBEAT_S, lambda status, answer, at: None
-            )
+            self._post(seed.address, body)
 
     def due(self) -> bool:
         return self.core.now >= self._next
 
     def tell(self, label: str, jobs: list[str]) -> None:
         """Tell a block's holder of cancellations; nothing is lost if it does not hear."""
-        body = msgspec.json.encode(CalledOff(jobs))
+        self.send(label, msgspec.json.encode(CalledOff(jobs)))
+
+    def send(self, label: str, body: bytes) -> None:
+        """One message to a peer; whether it came is not known."""
         for seed in self.core.settings.seeds:
             if seed.label == label:
-                self.core.call(
-                    seed.address,
-                    "POST",
-                    "/beat",
-                    body,
-                    HEARTBEAT_S,
-                    lambda status, answer, at: None,
-                )
+                self._post(seed.address, body)
+
+    def _post(self, address: str, body: bytes) -> None:
+        self.core.call(address, "POST", "/beat", body, HEARTBEAT_S, lambda status, answer, at: None)
 
     def take(self, body: bytes) -> Message | None:
         """The message; None for a heartbeat that is a late copy or overtaken by a newer one: a
--- a/fallpulley/placement/estimate.py
+++ b/fallpulley/placement/estimate.py
@@ -25,6 +25,15 @@
     def factor(self, jobclass: str) -> float:
         return self._factors.get(jobclass, 1.0)
 
+    def factors(self) -> dict[str, float]:
+        """All that was learned, by class."""
+        return dict(self._factors)
+
+    def restore(self, factors: dict[str, float]) -> None:
+        """Take over what somebody else has learned, within the bounds of one's own learning."""
+        for jobclass, factor in factors.items():
+            self._factors[jobclass] = max(LEAST, min(MOST, factor))
+
     def learn(self, jobclass: str, expected_s: float, took_s: float) -> None:
         ratio = max(LEAST, min(MOST, took_s / expected_s))
         factor = self.factor(jobclass)
--- a/fallpulley/settings.py
+++ b/fallpulley/settings.py
@@ -18,6 +18,12 @@
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
 
 OPERATORS_FILE = "fallpulley.toml"
+# The deployment's own defaults: built into the deployed copy, or under deploy/ in a checkout.
+_PROGRAM = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+DEPLOYED_FILES = (
+    os.path.join(_PROGRAM, OPERATORS_FILE),
+    os.path.join(_PROGRAM, "deploy", OPERATORS_FILE),
+)
 
 # What a controller was measured to need, on simulated machines. Processor time from its start to
 # its first session, rounded up, and what it takes as a share of a core with nothing to do.
@@ -125,6 +131,16 @@
     machine_limits: MachineLimits = MachineLimits()
 
 
+class StandbySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[standby]`: followers keep a replica of each holder's decisions (docs/standby.md)."""
+
+    enabled: bool = False
+    # A holder sends what is new to its followers so often.
+    batch_s: Annotated[float, Meta(ge=0.05, le=30)] = 0.5
+    # With a standby, a controller's session is no longer than this, whatever `session_share` says.
+    session_s: Annotated[float, Meta(ge=0.5, le=60)] = 2.5
+
+
 class Operators(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The operators' own settings, all optional. docs/operations.md explains each."""
 
@@ -141,6 +157,7 @@
     begin_bound_s: Annotated[float, Meta(gt=0)] = 90.0
     # Machines never rented beyond this number (0: no bound of our own).
     machines_max: Annotated[int, Meta(ge=0)] = 0
+    standby: StandbySettings = StandbySettings()
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -224,17 +241,38 @@
         raise SettingsError(f"{path}: not TOML: {error}") from None
 
 
+def _operators(path: str) -> dict[str, object]:
+    """The operators' settings: those of the deployed copy, overridden field by field by the file
+    beside the platform's."""
+    own = os.path.join(os.path.dirname(os.path.abspath(path)), OPERATORS_FILE)
+    merged: dict[str, object] = {}
+    deployed = next((file for file in DEPLOYED_FILES if os.path.exists(file)), None)
+    for file in (deployed, own):
+        if file is None or not os.path.exists(file):
+            continue
+        try:
+            table = _read(file)
+            msgspec.convert(table, Operators)
+        except msgspec.ValidationError as error:
+            raise SettingsError(f"{file}: {error}") from None
+        except OSError as error:
+            raise SettingsError(f"{file}: {error.strerror}") from None
+        for name, value in table.items():
+            below = merged.get(name)
+            if isinstance(value, dict) and isinstance(below, dict):
+                merged[name] = below | value
+            else:
+                merged[name] = value
+    return merged
+
+
 def load(path: str) -> Settings:
-    """Read and check both files; the operators' one may be absent."""
+    """Read and check the platform's file and the operators' ones, which may be absent."""
     try:
         table = _read(path)
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from None
-    own = os.path.join(os.path.dirname(os.path.abspath(path)), OPERATORS_FILE)
-    try:
-        table["operators"] = _read(own)
-    except OSError:
-        table.pop("operators", None)
+    table["operators"] = _operators(path)
     try:
         settings = msgspec.convert(table, Settings)
     except msgspec.ValidationError as error:
--- /dev/null
+++ b/fallpulley/standby/stream.py
@@ -0,0 +1,256 @@
+"""The holder's side: the log of its decisions, and what each follower gets of it.
+
+A follower is sent one message at a time and the next one when it has acknowledged: a slow one
+costs the holder nothing, and falls back to a snapshot once the log has dropped what it needs.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from fallpulley.blocks.held import HeldBlock
+from fallpulley.standby.entries import (
+    Cached,
+    ClassLearned,
+    Entry,
+    Granted,
+    JobLearned,
+    Left,
+    Marked,
+    Reachable,
+    Released,
+    Started,
+    Stopped,
+)
+from fallpulley.standby.messages import (
+    FORMAT,
+    Acknowledgement,
+    LogBatch,
+    SnapshotPart,
+    checksum_of,
+    pack,
+)
+from fallpulley.standby.replica import JobCopy, MachineCopy, Snapshot
+from fallpulley.state.client import Bucket
+from fallpulley.workers.machine import Machine, Run
+
+# Entries in a message, and machines or jobs in a part of a snapshot: packed, some 10 KiB.
+BATCH_ENTRIES = 500
+PART_ITEMS = 150
+# A message that is not acknowledged is sent again after so many batch intervals.
+RESEND_BATCHES = 4.0
+# With nothing new to tell, a message goes so much more rarely: it shows that there is nothing.
+IDLE_BATCHES = 4.0
+# A follower that never answered, an older version perhaps, is asked so much more rarely.
+SILENT_BATCHES = 20.0
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """Bounds of a stream, derived from the settings."""
+
+    batch_s: float
+    log_entries: int
+    bytes_per_s: float
+
+
+class Position(msgspec.Struct):
+    """Where a follower stands, as far as the holder knows."""
+
+    last: int = -1  # the last entry acknowledged; -1: it has no replica
+    answered: bool = False
+    sent_at: float = float("-inf")
+    waiting: bool = False  # a message is under way
+    parts: list[Snapshot] = []  # of a snapshot that is being sent
+    parts_last: int = 0  # the entry that the snapshot stands for
+    next_part: int = 0
+
+
+class DecisionLog:
+    """Takes a holder's decisions as entries, the newest `most` of them kept."""
+
+    def __init__(self, most: int) -> None:
+        self.entries: deque[Entry] = deque(maxlen=most)
+        self.last = 0  # number of the newest entry; the first one is 1
+
+    @property
+    def first(self) -> int:
+        """Number of the oldest entry still kept."""
+        return self.last - len(self.entries) + 1
+
+    def since(self, number: int, most: int) -> list[Entry]:
+        """Up to `most` entries from `number` on."""
+        begin = number - self.first
+        return [self.entries[at] for at in range(begin, min(len(self.entries), begin + most))]
+
+    def _append(self, entry: Entry) -> None:
+        self.entries.append(entry)
+        self.last += 1
+
+    def task_started(self, run: Run) -> None:
+        self._append(Started(run.host, run.piece, run.attempt))
+
+    def task_stopped(self, run: Run) -> None:
+        self._append(Stopped(run.host, run.piece, run.attempt))
+
+    def task_left(self, run: Run, cause: str) -> None:
+        self._append(Left(run.host, run.piece, run.attempt, cause))
+
+    def run_time_learned(self, job: str, observed: int, observed_s: float) -> None:
+        self._append(JobLearned(job, observed, round(observed_s, 2)))
+
+    def class_learned(self, jobclass: str, factor: float) -> None:
+        self._append(ClassLearned(jobclass, round(factor, 4)))
+
+    def machine_granted(self, host: str) -> None:
+        self._append(Granted(host))
+
+    def machine_marked(self, host: str, used: bool) -> None:
+        self._append(Marked(host, used))
+
+    def machine_released(self, host: str) -> None:
+        self._append(Released(host))
+
+    def machine_reachable(self, host: str, reachable: bool) -> None:
+        self._append(Reachable(host, reachable))
+
+    def image_cached(self, host: str, image: str, size_gb: float) -> None:
+        self._append(Cached(host, image, size_gb))
+
+
+class BlockStream:
+    """Brings the log of one held block to its followers."""
+
+    def __init__(
+        self, held: HeldBlock, label: str, boot: str, followers: Iterable[str], limits: Limits
+    ) -> None:
+        self.held = held
+        self.label = label
+        self.boot = boot
+        self.limits = limits
+        self.log = DecisionLog(limits.log_entries)
+        self.positions = {follower: Position() for follower in followers}
+        self.snapshot: Callable[[HeldBlock], list[Snapshot]] = snapshot_parts
+        self._bucket = Bucket(limits.bytes_per_s)
+
+    @property
+    def token(self) -> int:
+        """The stamp at which the block was taken: the same for the whole tenure."""
+        return self.held.taken_stamp
+
+    def due(self, now: float) -> list[tuple[str, LogBatch | SnapshotPart]]:
+        """What goes out now, by follower, within the bound on bytes a second."""
+        self._bucket.refill(now)
+        found = []
+        for follower, position in self.positions.items():
+            if self._bucket.tokens <= 0:
+                break
+            if now < position.sent_at + self._pause_s(position):
+                continue
+            message = self._next(position)
+            self._bucket.tokens -= len(message.payload)
+            position.sent_at = now
+            position.waiting = True
+            found.append((follower, message))
+        return found
+
+    def _pause_s(self, position: Position) -> float:
+        if not position.waiting:
+            idle = not position.parts and position.last == self.log.last
+            return (IDLE_BATCHES if idle else 1.0) * self.limits.batch_s
+        batches = RESEND_BATCHES if position.answered else SILENT_BATCHES
+        return batches * self.limits.batch_s
+
+    def _next(self, position: Position) -> LogBatch | SnapshotPart:
+        if position.parts:
+            return self._part(position)
+        lost = position.last + 1 < self.log.first
+        entries = [] if position.last < 0 or lost else self._entries_after(position.last)
+        payload = pack(entries)
+        return LogBatch(
+            FORMAT,
+            self.label,
+            self.boot,
+            self.held.label,
+            self.token,
+            max(position.last, 0) + 1,
+            self.log.last,
+            {name: other.last for name, other in self.positions.items()},
+            checksum_of(payload),
+            payload,
+        )
+
+    def _entries_after(self, last: int) -> list[Entry]:
+        return self.log.since(last + 1, BATCH_ENTRIES)
+
+    def _part(self, position: Position) -> SnapshotPart:
+        payload = pack(position.parts[position.next_part])
+        return SnapshotPart(
+            FORMAT,
+            self.label,
+            self.boot,
+            self.held.label,
+            self.token,
+            position.parts_last,
+            position.next_part,
+            len(position.parts),
+            checksum_of(payload),
+            payload,
+        )
+
+    def acknowledged(self, answer: Acknowledgement) -> None:
+        """A follower says where it stands under our token."""
+        position = self.positions.get(answer.label)
+        if position is None or answer.token != self.token:
+            return
+        if answer.snapshot_part < 0:
+            self._log_acknowledged(position, answer.last)
+        else:
+            self._part_acknowledged(position, answer.snapshot_part)
+
+    def _log_acknowledged(self, position: Position, last: int) -> None:
+        if position.parts and last < position.parts_last:
+            return  # from before the snapshot that is under way
+        position.answered, position.waiting = True, False
+        position.parts = []
+        position.last = max(position.last, last)
+        if position.last + 1 < self.log.first:
+            self._begin_snapshot(position)
+
+    def _part_acknowledged(self, position: Position, next_part: int) -> None:
+        """The follower needs part `next_part` of a snapshot; the first one: any snapshot."""
+        position.answered, position.waiting = True, False
+        position.last = -1
+        restarted = next_part == 0 and position.next_part > 0
+        if not position.parts or restarted or next_part >= len(position.parts):
+            self._begin_snapshot(position)
+        else:
+            position.next_part = next_part
+
+    def _begin_snapshot(self, position: Position) -> None:
+        position.parts = self.snapshot(self.held)
+        position.parts_last = self.log.last
+        position.next_part = 0
+
+
+def snapshot_parts(held: HeldBlock) -> list[Snapshot]:
+    """The state of a held block, in parts that fit a message."""
+    machines = [(host, _copy(machine)) for host, machine in held.machines.items()]
+    jobs = [
+        (name, JobCopy(job.observed, round(job.observed_s, 2)))
+        for name, job in held.jobs.items()
+        if job.observed
+    ]
+    parts = [Snapshot({}, {}, dict(held.corrections.factors()))]
+    for at in range(0, len(machines), PART_ITEMS):
+        parts.append(Snapshot(dict(machines[at : at + PART_ITEMS])))
+    for at in range(0, len(jobs), PART_ITEMS):
+        parts.append(Snapshot({}, dict(jobs[at : at + PART_ITEMS])))
+    return parts
+
+
+def _copy(machine: Machine) -> MachineCopy:
+    attempts = {run.piece: run.attempt for run in machine.runs.values()}
+    return MachineCopy(machine.up, machine.entry.used, attempts, dict(machine.images))
--- /dev/null
+++ b/fallpulley/standby/takeover.py
@@ -0,0 +1,72 @@
+"""What a new holder does with a replica: asks machines in a better order, and estimates as its
+predecessor did. Nothing is placed or counted as proved by it."""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+
+from fallpulley.blocks.held import HeldBlock
+from fallpulley.standby.replica import MachineCopy, Replica
+from fallpulley.workers.machine import Machine
+
+log = logging.getLogger(__name__)
+
+
+class Expected(msgspec.Struct):
+    """What a replica lets one expect to find in a block that was taken over."""
+
+    attempts: dict[str, int]  # task -> attempt
+    settled: bool = False  # compared with what the machines reported
+
+
+def seed(held: HeldBlock, replica: Replica) -> Expected:
+    """Bring a replica's hints into a block that was just taken over."""
+    state = replica.state
+    held.corrections.restore(state.factors)
+    for name, copy in state.jobs.items():
+        job = held.jobs.get(name)
+        if job is not None and copy.observed >= 0 and copy.observed_s >= 0.0:
+            job.observed, job.observed_s = copy.observed, copy.observed_s
+    expected = Expected({})
+    for host, machine in state.machines.items():
+        ours = held.machines.get(host)
+        if ours is None:
+            continue  # it has left the block since, by the record
+        ours.images.update(machine.images)
+        expected.attempts.update(machine.attempts)
+    held.machines = _in_asking_order(held, state.machines)
+    log.info(
+        "takeover with replica block=%s entry=%d machines=%d tasks=%d",
+        held.label,
+        replica.last,
+        len(state.machines),
+        len(expected.attempts),
+    )
+    return expected
+
+
+def _in_asking_order(held: HeldBlock, copies: dict[str, MachineCopy]) -> dict[str, Machine]:
+    """Machines that reported and hold tasks are asked first, silent ones last: each of those takes
+    one of the few places for requests under way until it times out."""
+
+    def rank(host: str) -> tuple[bool, bool]:
+        copy = copies.get(host)
+        return (copy is None or not copy.reachable, copy is None or not copy.attempts)
+
+    return {host: held.machines[host] for host in sorted(held.machines, key=rank)}
+
+
+def compare(held: HeldBlock, expected: Expected) -> None:
+    """Once every machine has reported: how far the replica was from what they run."""
+    expected.settled = True
+    found = {run.piece: run.attempt for run in held.runs() if run.attempt < held.first_attempt}
+    alike = sum(expected.attempts.get(piece) == attempt for piece, attempt in found.items())
+    log.info(
+        "replica compared block=%s expected=%d found=%d alike=%d",
+        held.label,
+        len(expected.attempts),
+        len(found),
+        alike,
+    )
--- /dev/null
+++ b/tests/loopback/__init__.py
@@ -0,0 +1,1 @@
+"""Real controllers on loopback against stand-ins for state service, cloud and workers."""
--- /dev/null
+++ b/tests/loopback/deployment.py
@@ -0,0 +1,163 @@
+"""Three real controller processes against the stand-ins, to be killed, paused and resumed."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+
+from tests.loopback.standins import LoopbackWorld
+from tests.world import LABELS
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+NODE = """
+label = "{label}"
+site = "a"
+serve_on = "{serve}"
+mesh_addr = "{mesh}"
+{seeds}
+[endpoints]
+cloud = "{cloud}"
+state = "{state}"
+[facts]
+nodes = 3
+zones = ["a", "b"]
+skew_ms = 50.0
+[[facts.teams]]
+name = "crew"
+[facts.workers]
+report_s = 1.0
+lease_s = {lease_s}
+cancel_s = {cancel_s}
+[facts.state]
+rps = 300.0
+write_rps = 120.0
+value_kb = 16.0
+txn_ops = 16
+[facts.cloud]
+rps = 10.0
+list_lag_s = 1.0
+[facts.machine_limits]
+sockets = 2000
+"""
+SEED = '[[seeds]]\nlabel = "{label}"\nsite = "a"\naddress = "{mesh}"\n'
+
+
+def free_port() -> int:
+    """A port that nobody listens on, nor on the next one."""
+    while True:
+        with socket.socket() as one, socket.socket() as next_one:
+            one.bind(("127.0.0.1", 0))
+            port = int(one.getsockname()[1])
+            try:
+                next_one.bind(("127.0.0.1", port + 1))
+            except (OSError, OverflowError):
+                continue
+            return port
+
+
+class Deployment:
+    """The processes, by label."""
+
+    def __init__(self, folder: pathlib.Path, machines: int, lease_s: float, operators: str) -> None:
+        self.folder = folder
+        port = free_port()
+        self.serve = {label: f"127.0.1.{at}:{port}" for at, label in enumerate(LABELS, 1)}
+        self.mesh = {label: f"127.0.2.{at}:{port}" for at, label in enumerate(LABELS, 1)}
+        self.world = LoopbackWorld(machines, lease_s, self.serve, port)
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        for label in LABELS:
+            self._write(label, lease_s, operators)
+
+    def _write(self, label: str, lease_s: float, operators: str) -> None:
+        home = self.folder / label
+        home.mkdir()
+        seeds = [SEED.format(label=other, mesh=self.mesh[other]) for other in LABELS]
+        text = NODE.format(
+            label=label,
+            serve=self.serve[label],
+            mesh=self.mesh[label],
+            seeds="".join(
+                seed for seed, other in zip(seeds, LABELS, strict=True) if other != label
+            ),
+            cloud=self.world.cloud_address,
+            state=self.world.state_address,
+            lease_s=lease_s,
+            cancel_s=2.5 * lease_s,
+        )
+        (home / "node.toml").write_text(text)
+        (home / "fallpulley.toml").write_text(operators)
+
+    def start(self, label: str) -> None:
+        """Start a controller; its log is appended to its file."""
+        with open(self.log_file(label), "ab") as log:
+            self.processes[label] = subprocess.Popen(
+                [sys.executable, "run.py", "--config", str(self.folder / label / "node.toml")],
+                cwd=ROOT,
+                stderr=log,
+                env=os.environ | {"LOG_LEVEL": "info"},
+            )
+
+    def log_file(self, label: str) -> pathlib.Path:
+        return self.folder / f"{label}.log"
+
+    def kill(self, label: str) -> None:
+        """End a controller with no signal to itself."""
+        process = self.processes.pop(label)
+        process.kill()
+        process.wait()
+
+    def pause(self, label: str) -> None:
+        self.processes[label].send_signal(signal.SIGSTOP)
+
+    def resume(self, label: str) -> None:
+        self.processes[label].send_signal(signal.SIGCONT)
+
+    def stop(self) -> None:
+        for label in list(self.processes):
+            self.resume(label)
+            self.kill(label)
+
+    def holder(self) -> str | None:
+        """Who holds the first block, by the state service."""
+        records = self.world.blocks()
+        return str(records[min(records)]["holder"]) if records else None
+
+    async def until(self, met: Callable[[], bool], within_s: float, what: str) -> None:
+        """Wait for something; a failure of the world's rules ends the wait."""
+        until = self.world.now + within_s
+        while not met():
+            assert not self.world.broken, self.world.broken
+            assert self.world.now < until, f"not within {within_s} s: {what}"
+            await anyio.sleep(0.02)
+
+
+@asynccontextmanager
+async def running(
+    folder: pathlib.Path, machines: int, lease_s: float, operators: str
+) -> AsyncIterator[Deployment]:
+    """A deployment whose controllers are up and whose machines report."""
+    deployment = Deployment(folder, machines, lease_s, operators)
+    async with anyio.create_task_group() as tasks:
+        await deployment.world.serve(tasks)
+        try:
+            for label in LABELS:
+                deployment.start(label)
+            world = deployment.world
+            await deployment.until(lambda: bool(world.blocks()), 30.0, "a block is held")
+            await deployment.until(
+                lambda: all(worker.baton > 0 for worker in world.workers.values()),
+                60.0,
+                "all machines have a token",
+            )
+            yield deployment
+        finally:
+            deployment.stop()
+            tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/loopback/standins.py
@@ -0,0 +1,165 @@
+"""The stand-ins: the simulated world's state service, cloud and workers behind real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from fallpulley.effects import Call, Request
+from fallpulley.wire.client import Client
+from fallpulley.wire.server import Server
+from tests.world import LABELS, Worker, World
+
+ACT_S = 0.05  # workers act, and leases end, so often
+REPORT_TIMEOUT_S = 4.0
+SOCKETS = 4000
+
+
+class LoopbackWorld(World):
+    """Time is real, and what the simulated world hands over directly goes through sockets."""
+
+    def __init__(self, machines: int, lease_s: float, nodes: dict[str, str], port: int) -> None:
+        self.port = port
+        self.lease_s = lease_s
+        self.nodes = nodes  # label -> address for users and workers
+        self.state_address = f"127.0.0.1:{port}"
+        self.cloud_address = f"127.0.0.1:{port + 1}"
+        self.client: Client | None = None
+        self.watches: list[tuple[Request, str, int, float]] = []
+        self.placed: list[tuple[float, int, str]] = []  # when, under which token, where
+        super().__init__(0, start=False)
+        self.capacity = machines
+        for at in range(machines):
+            self.machine("ab"[at % 2], spot=False)
+
+    @property
+    def now(self) -> float:
+        return time.monotonic()
+
+    @now.setter
+    def now(self, value: float) -> None:
+        """The simulated world would set its clock."""
+
+    def machine(self, zone: str, spot: bool) -> str:
+        host = super().machine(zone, spot)
+        number = int(host[3:])
+        worker = self.workers[host]
+        worker.addr = f"127.1.{number // 200}.{number % 200 + 1}:{self.port}"
+        # Reports of a fleet do not come all at once.
+        worker.next_at = self.now + (number % 20) / 20
+        return host
+
+    # -- workers ---------------------------------------------------------------------------
+
+    def check_in(self, worker: Worker, label: str, number: int, shift: int) -> None:
+        def answered(status: int | None, body: bytes) -> None:
+            if status is not None:
+                before = set(worker.pieces)
+                worker.answered(number, shift, status, body)
+                if worker.pieces.keys() - before:
+                    self.placed.append((self.now, worker.baton, worker.host))
+            elif worker.waiting is not None and worker.waiting[1] == number:
+                worker.turn(1.0)
+
+        assert self.client is not None
+        body = json.dumps(worker.report()).encode()
+        self.client.call(self.nodes[label], "POST", "/checkin", body, REPORT_TIMEOUT_S, answered)
+
+    def _direct(self, worker: Worker) -> Callable[[Request], None]:
+        def post(request: Request) -> None:
+            if worker.host not in self.workers:
+                return  # a machine that is no more answers nothing
+            status, answer = worker.direct(json.loads(request.body or b"{}"))
+            request.ticket.settle(status, json.dumps(answer).encode(), None)
+
+        return post
+
+    # -- state service and cloud -----------------------------------------------------------
+
+    def on_state(self, request: Request) -> None:
+        """A request to the state service; a look at changes may have to wait for one."""
+        if request.path.startswith("/changes"):
+            query = request.path.partition("?")[2]
+            args = dict(part.partition("=")[::2] for part in query.split("&"))
+            until = self.now + int(args["hold_ms"]) / 1000
+            self.watches.append((request, args["under"], int(args["after"]), until))
+        else:
+            status, answer = self.state.handle(request.method, request.path, request.body, self.now)
+            request.ticket.settle(status, json.dumps(answer).encode(), None)
+            self._note_tenure()
+        self._answer_watches()
+
+    def _answer_watches(self) -> None:
+        waiting = []
+        for request, under, after, until in self.watches:
+            news = self.state.news(under, after)
+            if news["news"] or self.now >= until:
+                request.ticket.settle(200, json.dumps(news).encode(), None)
+            else:
+                waiting.append((request, under, after, until))
+        self.watches = waiting
+
+    def on_cloud(self, request: Request) -> None:
+        """A request to the cloud."""
+        call = Call("", request.method, request.path, request.body, 0.0, lambda *_: None)
+        status, answer = self._cloud(call)
+        request.ticket.settle(status, json.dumps(answer).encode(), None)
+
+    # -- running ---------------------------------------------------------------------------
+
+    async def serve(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Listen on all addresses, and let workers act until the group is cancelled."""
+        self.client = Client(tasks, SOCKETS, [])
+        tasks.start_soon(Server(self.state_address, self.on_state, SOCKETS).run)
+        tasks.start_soon(Server(self.cloud_address, self.on_cloud, SOCKETS).run)
+        for worker in self.workers.values():
+            tasks.start_soon(Server(worker.addr, self._direct(worker), 16).run)
+        tasks.start_soon(self._act)
+        tasks.start_soon(self._sweep)
+
+    async def _act(self) -> None:
+        while True:
+            self.state.expire(self.now)
+            self._answer_watches()
+            for worker in list(self.workers.values()):
+                worker.act()
+            await anyio.sleep(ACT_S)
+
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(5.0)
+            assert self.client is not None
+            self.client.sweep()
+
+    # -- users -----------------------------------------------------------------------------
+
+    async def ask(self, label: str, method: str, path: str, body: Any = None) -> tuple[int, Any]:  # type: ignore[override]
+        """A user's request to one controller: status (0: no answer) and body."""
+        done: asyncio.Future[tuple[int, Any]] = asyncio.get_running_loop().create_future()
+
+        def answered(status: int | None, answer: bytes) -> None:
+            if not done.done():
+                done.set_result((status or 0, json.loads(answer) if answer else None))
+
+        assert self.client is not None
+        data = json.dumps(body).encode() if body is not None else None
+        self.client.call(self.nodes[label], method, path, data, 3.0, answered)
+        return await done
+
+    async def submit(self, spec: dict[str, Any], within_s: float = 30.0) -> bool:
+        """Submit a job, at one controller after another, until it is accepted."""
+        self.specs[spec["uid"]] = spec
+        until = self.now + within_s
+        while self.now < until:
+            for label in LABELS:
+                status, _ = await self.ask(label, "POST", "/work", spec)
+                if status in (200, 201):
+                    return True
+            await anyio.sleep(0.3)
+        return False
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -18,6 +18,8 @@
     shutil.copytree(
         ROOT / "fallpulley", tmp_path / "fallpulley", ignore=shutil.ignore_patterns("__pycache__")
     )
+    # The build takes the deployment's defaults with it.
+    shutil.copytree(ROOT / "deploy", tmp_path / "deploy")
     # The first part installs libraries: the environment of the tests has them already.
     local = deploy["build"].partition("&& ")[2]
     subprocess.run(["sh", "-ec", local], cwd=tmp_path, check=True)
@@ -33,3 +35,4 @@
     ours = [line for line in run.stderr.splitlines() if "fallpulley" in line]
     assert any("code object from" in line and line.endswith(".pyc'") for line in ours)
     assert not [line for line in ours if "code object from" in line and ".pyc" not in line]
+    assert (tmp_path / "target" / "app" / "fallpulley.toml").exists()
--- a/tests/world.py
+++ b/tests/world.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import bisect
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -37,8 +38,9 @@
 TEAMS: list[dict[str, Any]] = [{"name": "crew"}, {"name": "small", "cpus_max": 8.0}]
 
 
-def settings(label: str, **facts: Any) -> Settings:
+def settings(label: str, operators: dict[str, Any] | None = None, **facts: Any) -> Settings:
     table = {
+        "operators": operators or {},
         "label": label,
         "site": "a",
         "serve_on": f"10.0.0.{LABELS.index(label)}:1",
@@ -156,11 +158,8 @@
         return 400, {}
 
     def news(self, under: str, after: int) -> dict[str, Any]:
-        news = [
-            e
-            for e in self.log
-            if e["stamp"] > after and e.get("set", e.get("drop", "")).startswith(under)
-        ]
+        first = bisect.bisect_right(self.log, after, key=lambda entry: entry["stamp"])
+        news = [e for e in self.log[first:] if e.get("set", e.get("drop", "")).startswith(under)]
         return {"ledger": self.ledger, "news": news}
 
     def txn(self, parsed: dict[str, Any], now: float = 0.0) -> tuple[int, Any]:
@@ -213,6 +212,7 @@
         self.waiting: tuple[float, int] | None = None  # report in flight: sent at, number
         self.hung = False
         self.recall_s: float | None = None
+        self.reported = 0  # the highest token that it has reported
         self._number = 0
 
     def report(self) -> dict[str, Any]:
@@ -265,6 +265,7 @@
             self._number += 1
             self.waiting = (now, self._number)
             self.next_at = now + 1.0
+            self.reported = max(self.reported, self.baton)
             self.world.check_in(self, LABELS[self.node], self._number, self.shift)
 
     def turn(self, pause_s: float) -> None:
@@ -293,6 +294,9 @@
             self.baton = reply["baton"]
             self.next_at = min(self.next_at, self.world.now + 0.5)
         self.lease_from = max(self.lease_from, sent_at)
+        runs = [order["piece"] for order in reply["orders"] if order["verb"] == "run"]
+        if runs and not self.world.confirmed(self.reported, reply["baton"]):
+            self.world.broken.append(f"{self.world.now:.2f} {runs} on {self.host} unconfirmed")
         self.execute(reply["orders"])
 
     def direct(self, body: dict[str, Any]) -> tuple[int, Any]:
@@ -327,8 +331,15 @@
 
     lease_s = 8.0
 
-    def __init__(self, machines: int = 2, start: bool = True, **facts: Any) -> None:
+    def __init__(
+        self,
+        machines: int = 2,
+        start: bool = True,
+        operators: dict[str, Any] | None = None,
+        **facts: Any,
+    ) -> None:
         self.facts = facts
+        self.operators = operators
         self.now = 100.0
         self.state = StateService()
         self.workers: dict[str, Worker] = {}
@@ -355,6 +366,12 @@
         # Transactions of these controllers get no answer, and are carried out so much later.
         self.unanswered: dict[str, float] = {}
         self.slow_s = 0.0  # the state service's answers take so much longer
+        self.paused: set[str] = set()  # controllers that do nothing for now; what comes waits
+        # What becomes of a message from one controller to another: copies, each after so long.
+        self.link: Callable[[str, str, bytes], list[float]] = lambda one, other, body: [0.0]
+        # Stamps at which the only block changed hands: a reply's tenure is the last one before it.
+        self.tenures: list[int] = [0]
+        self._held_by: tuple[str, str] | None = None
         self.specs: dict[str, dict[str, Any]] = {}  # of every submission
         self._vm = 0
         for at in range(machines):
@@ -371,11 +388,13 @@
         self.workers[host] = Worker(self, host, zone, spot)
         return host
 
-    def boot(self, label: str, older: bool = False) -> None:
+    def boot(
+        self, label: str, older: bool = False, operators: dict[str, Any] | None = None
+    ) -> None:
         """`older`: a process that does not know the newer record format."""
         self.boots += 1
         self.commands[label] = []
-        made = settings(label, **self.facts)
+        made = settings(label, self.operators if operators is None else operators, **self.facts)
         self.controllers[label] = Controller(made, f"boot-{self.boots}", lambda: self.now)
         if older:
             self.controllers[label].session.format = 1
@@ -497,10 +516,36 @@
         elif call.path == "/beat":
             other = LABELS[int(call.address.split(":")[0].rpartition(".")[2])]
             if other in self.controllers and not self.blocked(label, other):
-                self.commands[other].append(PeerMessage(call.body or b""))
+                for after_s in self.link(label, other, call.body or b""):
+                    self._deliver(other, call.body or b"", after_s)
         else:
             self._to_worker(label, call, back)
 
+    def _deliver(self, label: str, body: bytes, after_s: float) -> None:
+        def arrive() -> None:
+            if label in self.controllers:
+                self.commands[label].append(PeerMessage(body))
+
+        if after_s <= 0:
+            arrive()
+        else:
+            self.later.append((self.now + after_s, arrive))
+
+    def _note_tenure(self) -> None:
+        """When the only block changes hands, a new tenure begins with its record's stamp."""
+        blocks = [entry for key, entry in self.state.data.items() if key.startswith("live/block/")]
+        if len(blocks) != 1:
+            return
+        record, stamp, _ = blocks[0]
+        holder = (record["holder"], record["boot"])
+        if holder != self._held_by:
+            self._held_by = holder
+            self.tenures.append(stamp)
+
+    def confirmed(self, reported: int, answered: int) -> bool:
+        """Whether a machine that reported with one token may get tasks under another."""
+        return reported >= max(stamp for stamp in self.tenures if stamp <= answered)
+
     def _carry_out(self, call: Call) -> None:
         self.state.handle(call.method, call.path, call.body, self.now)
 
@@ -582,7 +627,10 @@
             act()
         for worker in list(self.workers.values()):
             worker.act()
+        self._note_tenure()
         for label, controller in list(self.controllers.items()):
+            if label in self.paused:
+                continue
             batch, self.commands[label] = self.commands[label], []
             for effect in controller.step(batch, self.now, 1e6 + self.now):
                 if isinstance(effect, Answer):
