--- a/fallpulley/standby/service.py
+++ b/fallpulley/standby/service.py
@@ -32,6 +32,9 @@
 # A replica that lags for so many batch intervals is told in the log, once.
 LAG_BATCHES = 10.0
 
+# How a stream goes is told in the log every so many batch intervals.
+STATUS_BATCHES = 60.0
+
 # Sends a message to a peer by its label.
 Send = Callable[[str, bytes], None]
 
@@ -55,6 +58,7 @@
         self._replaced: set[str] = set()  # blocks whose replacement was told in the log
         self._lagging: set[str] = set()
         self._next_at = float("-inf")
+        self._next_status = float("-inf")
 
     def _holder_of(self, block: str) -> Holder | None:
         entry = self.registry.blocks.get(block)
@@ -139,6 +143,9 @@
         for stream in self.streams.values():
             for label, message in stream.due(now):
                 self.send(label, encode(message))
+        if now >= self._next_status:
+            self._next_status = now + STATUS_BATCHES * self.limits.batch_s
+            self._tell_status()
         for block, followed in self.follower.blocks.items():
             self._tell_lag(block, followed)
         for block, expected in self.expected.items():
@@ -146,6 +153,18 @@
             if not expected.settled and not stream.held.unproven:
                 compare(stream.held, expected)
 
+    def _tell_status(self) -> None:
+        for block, stream in self.streams.items():
+            lags = ",".join(f"{label}:{lag}" for label, lag in stream.lags().items())
+            log.info(
+                "replication block=%s term=%d entries=%d bytes=%d lags=%s",
+                block,
+                stream.token,
+                stream.log.last,
+                stream.sent_bytes,
+                lags,
+            )
+
     def _tell_lag(self, block: str, followed: Followed) -> None:
         since = followed.behind_since
         late_s = self.core.now - since if since is not None else 0.0
--- a/fallpulley/standby/stream.py
+++ b/fallpulley/standby/stream.py
@@ -133,6 +133,7 @@
         self.log = DecisionLog(limits.log_entries)
         self.positions = {follower: Position() for follower in followers}
         self.snapshot: Callable[[HeldBlock], list[Snapshot]] = snapshot_parts
+        self.sent_bytes = 0  # of payloads, to all followers
         self._bucket = Bucket(limits.bytes_per_s)
 
     @property
@@ -151,11 +152,16 @@
                 continue
             message = self._next(position)
             self._bucket.tokens -= len(message.payload)
+            self.sent_bytes += len(message.payload)
             position.sent_at = now
             position.waiting = True
             found.append((follower, message))
         return found
 
+    def lags(self) -> dict[str, int]:
+        """Entries that each follower has not acknowledged; all, where it has no replica."""
+        return {label: self.log.last - max(0, p.last) for label, p in self.positions.items()}
+
     def _pause_s(self, position: Position) -> float:
         if not position.waiting:
             idle = not position.parts and position.last == self.log.last
--- a/tests/loopback/standins.py
+++ b/tests/loopback/standins.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 import time
 from collections.abc import Callable
 from typing import Any
@@ -55,6 +56,10 @@
         worker.next_at = self.now + (number % 20) / 20
         return host
 
+    def duration(self, piece: str) -> float:
+        """Tasks of a job differ by half, each the same wherever it runs: they end one by one."""
+        return super().duration(piece) * random.Random(piece).uniform(0.5, 1.5)
+
     # -- workers ---------------------------------------------------------------------------
 
     def check_in(self, worker: Worker, label: str, number: int, shift: int) -> None:
