The controller's parts stand in modules of their own: check-ins, plans, marks, balance

Need: controller.py had 660 lines with five jobs; check-ins waiting for a plan were bare tuples.

Change: workers/checkins.py (CheckinHandler), placement/planner.py (Planner), blocks/marks.py (UsedMarks), blocks/balance.py (BlockBalance), with their constants; nothing else changed. Tests that counted calls of the controller's own methods count those of the new classes.

--- /dev/null
+++ b/fallpulley/blocks/balance.py
@@ -0,0 +1,97 @@
+"""Machines and blocks that change hands by plan: between blocks, and from a holder unheard."""
+
+from __future__ import annotations
+
+import logging
+
+from fallpulley.blocks.held import HeldBlock
+from fallpulley.blocks.leadership import Leadership
+from fallpulley.blocks.registry import Registry
+from fallpulley.blocks.session import SessionLease
+from fallpulley.blocks.shares import target_sizes
+from fallpulley.blocks.writer import BlockWriter
+from fallpulley.core import Core
+from fallpulley.fleet.provider import MachineProvider
+from fallpulley.jobs.service import JobService
+from fallpulley.mesh.peers import Peers
+
+log = logging.getLogger(__name__)
+
+# A holder that hears none of its machines for this share of their lease gives its block away.
+UNHEARD_LEASES = 0.4
+
+
+class BlockBalance:
+    """Keeps blocks near their target sizes, and with holders that their machines reach."""
+
+    def __init__(
+        self,
+        core: Core,
+        registry: Registry,
+        session: SessionLease,
+        leadership: Leadership,
+        writer: BlockWriter,
+        provider: MachineProvider,
+        jobs: JobService,
+        peers: Peers,
+    ) -> None:
+        self.core = core
+        self.registry = registry
+        self.session = session
+        self.leadership = leadership
+        self.writer = writer
+        self.provider = provider
+        self.jobs = jobs
+        self.peers = peers
+
+    def give_if_unheard(self, held: HeldBlock) -> None:
+        """No machine reaches us any more, but the state service and a peer do: the peer may be
+        heard by them, and if so in time for their leases."""
+        heard = [m.heard_at for m in held.machines.values() if m.up]
+        now = self.core.now
+        if not heard or not self.session.live():
+            return
+        if now - max(heard) < UNHEARD_LEASES * self.core.lease_s:
+            return
+        peers = sorted(
+            label
+            for label in self.registry.sessions
+            if label != self.core.label and self.peers.recent(label)
+        )
+        if peers:
+            self.leadership.give(held.label, peers[held.token % len(peers)])
+
+    def target_sizes(self) -> dict[str, int]:
+        """How many machines each block should have; none where there is one block alone."""
+        blocks = self.registry.blocks
+        if len(blocks) < 2:
+            return {}
+        work = {label: self.jobs.load(label) for label in blocks}
+        machines = sum(len(record.machines) for record, _ in blocks.values())
+        return target_sizes(work, machines, self.leadership.per_block)
+
+    def hand_over(self, held_blocks: dict[str, HeldBlock]) -> None:
+        """Give an idle machine to the block furthest below its target, while ours is above."""
+        targets = self.provider.targets
+        if not targets or not self.session.live():
+            return
+        sizes = {label: len(entry[0].machines) for label, entry in self.registry.blocks.items()}
+        for label, held in held_blocks.items():
+            short = {b: targets[b] - n for b, n in sizes.items() if b in targets and b != label}
+            to = max(short, key=lambda block: (short[block], block), default=None)
+            if label not in targets or to is None or short[to] < 1:
+                continue
+            if sizes[label] - targets[label] < 1 or self.writer.handing.get(label):
+                continue
+            self._hand_over_idle(held, to)
+
+    def _hand_over_idle(self, held: HeldBlock, to: str) -> None:
+        idle = [m for m in held.machines.values() if m.usable and m.empty]
+        if not idle:
+            return
+        machine = max(idle, key=lambda m: m.idle_since or 0.0)
+        log.info("machine handed over machine=%s from=%s to=%s", machine.host, held.label, to)
+        machine.leaving = True
+        held.booked.pop(machine.host, None)
+        held.dirty = True
+        self.writer.hand_over(held.label, machine.host, to)
--- /dev/null
+++ b/fallpulley/placement/planner.py
@@ -0,0 +1,68 @@
+"""When held blocks are planned, and what becomes of a plan."""
+
+from __future__ import annotations
+
+from fallpulley.blocks.held import HeldBlock
+from fallpulley.blocks.registry import Registry
+from fallpulley.core import Core
+from fallpulley.jobs.service import JobService
+from fallpulley.placement.queue import plan_block
+
+# The next plan waits so many times what the last one took: a twentieth of the time is for
+# planning. Where that would be longer than a part of a report interval, room would stand idle for
+# what it saves: then up to a fifth of the time is.
+PLAN_SHARE, PLAN_SHARE_LEAST = 20.0, 4.0
+PLAN_REPORTS_MOST = 0.15
+# Plans lie at least so many report intervals apart: what comes between is planned together.
+PLAN_REPORTS = 1.0 / 20.0
+# Estimates run out while nothing happens: plan again at least every so many reports.
+REPLAN_REPORTS = 1.0
+# A machine whose next report is due within this share of an interval need not be prompted.
+PROMPT_REPORTS = 0.25
+
+
+class Planner:
+    """Plans the held blocks in which something changed, as often as plans are cheap."""
+
+    def __init__(self, core: Core, registry: Registry, jobs: JobService) -> None:
+        self.core = core
+        self.registry = registry
+        self.jobs = jobs
+        self.ready_at = float("-inf")  # the next plan is made from then on
+        self._replan_at = float("-inf")
+
+    def plan(self, held_blocks: dict[str, HeldBlock]) -> None:
+        """Plan the blocks that need it, if it is time."""
+        now = self.core.now
+        if now < self.ready_at:
+            return
+        replan = now >= self._replan_at
+        began = self.core.clock()
+        planned = [held for held in held_blocks.values() if held.dirty or replan]
+        for held in planned:
+            self._plan_one(held)
+        if planned:
+            self._space(self.core.clock() - began)
+
+    def _plan_one(self, held: HeldBlock) -> None:
+        held.dirty = False
+        decision = plan_block(held, self.core, self.registry, self.jobs.teams)
+        held.booked = decision.starts
+        for stop in decision.stops:
+            held.preempt(stop.host, stop.pieces)
+        self._prompt_reports(held)
+
+    def _space(self, took_s: float) -> None:
+        report_s = self.core.report_s
+        wait_s = min(took_s * PLAN_SHARE, PLAN_REPORTS_MOST * report_s)
+        wait_s = max(wait_s, took_s * PLAN_SHARE_LEAST, PLAN_REPORTS * report_s)
+        self.ready_at = self.core.now + wait_s
+        self._replan_at = self.core.now + REPLAN_REPORTS * report_s
+
+    def _prompt_reports(self, held: HeldBlock) -> None:
+        """Machines with new bookings are asked to report now instead of when it is their turn."""
+        soon = self.core.now + PROMPT_REPORTS * self.core.report_s
+        for host in held.booked:
+            machine = held.machines.get(host)
+            if machine is not None and machine.heard_at + self.core.report_s > soon:
+                held.prompt_report(machine)
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from fallpulley.blocks.balance import BlockBalance
 from fallpulley.blocks.held import HeldBlock
+from fallpulley.blocks.marks import UsedMarks
 from fallpulley.blocks.messages import MachineEntry
-from fallpulley.controller import Controller
 from fallpulley.placement.queue import slots_of
 from fallpulley.workers.machine import Machine
 from tests.test_stories import busy
@@ -18,20 +19,20 @@
     world, uid = busy(pieces=4, seconds=60.0, expect_s=60.0)
     world.run(5.0)
     looks = ticks = 0
-    mark, tick = Controller._mark_used, Controller._give_if_deaf
+    mark, tick = UsedMarks.compare, BlockBalance.give_if_unheard
 
-    def counted_mark(self: Controller, held: object) -> None:
+    def counted_mark(self: UsedMarks, held: object) -> None:
         nonlocal looks
         looks += 1
         mark(self, held)  # type: ignore[arg-type]
 
-    def counted_tick(self: Controller, held: object) -> None:
+    def counted_tick(self: BlockBalance, held: object) -> None:
         nonlocal ticks
         ticks += 1
         tick(self, held)  # type: ignore[arg-type]
 
-    monkeypatch.setattr(Controller, "_mark_used", counted_mark)
-    monkeypatch.setattr(Controller, "_give_if_deaf", counted_tick)
+    monkeypatch.setattr(UsedMarks, "compare", counted_mark)
+    monkeypatch.setattr(BlockBalance, "give_if_unheard", counted_tick)
     world.run(10.0)
     assert len(world.running(uid)) == 4
     assert ticks > 30 and looks <= ticks / 5
--- a/tests/test_day_end.py
+++ b/tests/test_day_end.py
@@ -375,13 +375,13 @@
     planned = -1.0
     for _ in range(40):
         held.dirty = True
-        before = controller._plan_ready_at
+        before = controller.planner.ready_at
         world.step()
-        if controller._plan_ready_at != before:
+        if controller.planner.ready_at != before:
             planned = world.now
             break
     assert planned > 0
-    assert least_s <= controller._plan_ready_at - planned <= most_s
+    assert least_s <= controller.planner.ready_at - planned <= most_s
 
 
 def test_the_last_controller_takes_over_a_fleet_half_as_large_again() -> None:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -13,6 +13,7 @@
 
 from fallpulley.blocks.messages import decode_block
 from fallpulley.effects import Request
+from fallpulley.workers.checkins import DeferredCheckin
 from tests.test_day_end import replay, started
 from tests.test_stories import busy, others, ready, submit
 from tests.world import LABELS, World, job
@@ -100,7 +101,11 @@
     (held,) = controller.held.values()
     (host, machine) = next(iter(held.machines.items()))
     answers: list[int] = []
-    controller._checkins.append((lambda s, b, r: answers.append(s), held, machine, True, 0.0))
+
+    def ticket(status: int, body: bytes, retry_after: float | None) -> None:
+        answers.append(status)
+
+    controller.checkins.deferred.append(DeferredCheckin(ticket, held, machine, True, 0.0))
     controller.view.fresh_at = controller.core.now - controller.core.window_s
     world.step()
     assert answers == [503] and host in held.machines
