--- a/fallpulley/blocks/leadership.py
+++ b/fallpulley/blocks/leadership.py
@@ -39,6 +39,8 @@
         self._leaderless_since: float | None = None
         # How long to leave a free lead to others (warm standby).
         self.hold_off_s: Callable[[], float] = lambda: 0.0
+        # Blocks that are to be open besides those that the machines need, named by controllers.
+        self.blocks_to_open: Callable[[], list[str]] = list
 
     @property
     def term(self) -> int | None:
@@ -79,6 +81,8 @@
 
     def _open_wanted(self) -> None:
         """Open as many blocks as the machines need, for controllers that hold none."""
+        for named in self.blocks_to_open():
+            self._open(named, named)
         blocks = self.registry.blocks
         machines = sum(len(record.machines) for record, _ in blocks.values())
         controllers = len(self.registry.sessions)
--- a/fallpulley/blocks/registry.py
+++ b/fallpulley/blocks/registry.py
@@ -23,6 +23,7 @@
 LEADER = "live/leader"
 FORMAT = "live/format"
 CATALOG = "live/catalog"
+SHARES = "live/shares"
 BLOCKS, SESSIONS, TEAMS, RETIRED = "live/block/", "live/session/", "live/team/", "live/retire/"
 
 T = TypeVar("T")
--- a/fallpulley/cli.py
+++ b/fallpulley/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `fallpulley serve --config FILE`, `fallpulley check-config FILE`."""
+"""The command line: the daemon, checks of its settings, and operators' commands."""
 
 from __future__ import annotations
 
@@ -9,9 +9,9 @@
 from collections.abc import Sequence
 
 from fallpulley import __version__
+from fallpulley.exits import BAD_SETTINGS, EXPLAINED, FAILED, OK
 from fallpulley.settings import Settings, SettingsError, load, shortages
 
-OK, FAILED, USAGE, BAD_SETTINGS = 0, 1, 2, 3
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
@@ -19,7 +19,7 @@
     parser = argparse.ArgumentParser(
         prog="fallpulley",
         description="A cluster scheduler, run by every controller of a deployment.",
-        epilog="Exit codes: 0 well, 1 failed, 2 wrong usage, 3 settings that cannot be used.",
+        epilog=EXPLAINED,
     )
     parser.add_argument("--version", action="version", version=f"fallpulley {__version__}")
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
@@ -27,9 +27,30 @@
     serve.add_argument("--config", required=True, metavar="FILE", help="the platform's settings")
     check = commands.add_parser("check-config", help="check a settings file and say what it holds")
     check.add_argument("config", metavar="FILE", help="the platform's settings")
+    _add_shares(commands.add_parser("shares", help="show and change each controller's share"))
     return parser
 
 
+def _add_shares(parser: argparse.ArgumentParser) -> None:
+    commands = parser.add_subparsers(dest="shares_command", required=True, metavar="COMMAND")
+    show = commands.add_parser("show", help="show the shares and how far blocks are from them")
+    change = commands.add_parser("set", help="replace the whole table of shares")
+    for command in (show, change):
+        command.add_argument(
+            "--controller",
+            required=True,
+            action="append",
+            metavar="HOST:PORT",
+            help="a controller's mesh address; given several times, the first that answers",
+        )
+        command.add_argument("--json", action="store_true", help="print JSON")
+    change.add_argument("shares", nargs="+", metavar="LABEL=WEIGHT[:FLOOR[:CEILING]]")
+    change.add_argument("--team", action="append", default=[], metavar="TEAM=LABEL")
+    change.add_argument("--expect", type=int, metavar="REVISION", help="only if it is this one")
+    change.add_argument("--operation", metavar="NAME", help="a repeat with the same name is one")
+    change.add_argument("--wait", type=float, default=0.0, metavar="SECONDS")
+
+
 def _set_up_log() -> None:
     level = LEVELS.get(os.environ.get("LOG_LEVEL", "info").lower(), logging.INFO)
     logging.basicConfig(
@@ -48,6 +69,10 @@
 
 def main(arguments: Sequence[str] | None = None) -> int:
     options = _parser().parse_args(arguments)
+    if options.command == "shares":
+        from fallpulley.shares import command
+
+        return command.run(options)
     try:
         settings = load(options.config)
     except SettingsError as error:
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -14,12 +14,12 @@
 from fallpulley.blocks.leadership import Leadership
 from fallpulley.blocks.marks import UsedMarks
 from fallpulley.blocks.messages import NEWER_FORMAT, Former
-from fallpulley.blocks.registry import BLOCKS, FORMAT, SESSIONS, Registry
+from fallpulley.blocks.registry import BLOCKS, FORMAT, SESSIONS, SHARES, Registry
 from fallpulley.blocks.session import SessionLease
 from fallpulley.blocks.shares import write_share
 from fallpulley.blocks.writer import BlockWriter
 from fallpulley.core import Core
-from fallpulley.effects import Command, Effect, PeerMessage, Request, Result
+from fallpulley.effects import Command, Effect, OperatorRequest, PeerMessage, Request, Result
 from fallpulley.fleet.autoscaler import Autoscaler
 from fallpulley.fleet.provider import MachineProvider
 from fallpulley.jobs.messages import OPEN, WITHDRAWN
@@ -33,6 +33,7 @@
 from fallpulley.workers.checkins import CheckinHandler
 
 if TYPE_CHECKING:
+    from fallpulley.shares.service import SharesService
     from fallpulley.standby.service import Standby
 
 log = logging.getLogger(__name__)
@@ -94,6 +95,7 @@
             self.held,
             self.serving,
         )
+        self.shares = self._start_shares()
         self._formers: dict[str, list[Former]] = {}  # block -> holders before us
         # Cancelled by word of a peer, while our copy of their records is from before.
         self._called_off: set[str] = set()
@@ -115,7 +117,7 @@
             except Exception:
                 # One broken message must not end the process or lose the rest of the batch.
                 log.exception("command failed %s", type(command).__name__)
-                if isinstance(command, Request):
+                if isinstance(command, Request | OperatorRequest):
                     core.answer(command.ticket, 503, b'{"error":"internal"}', 1.0)
         for part in (self._tell_called_off, self._tick, self._plan, self._answer_checkins):
             try:
@@ -132,6 +134,8 @@
             command.done(command.status, command.body, command.sent_at)
         elif isinstance(command, PeerMessage):
             self._peer(command.body)
+        elif isinstance(command, OperatorRequest):
+            self._operators_request(command)
         else:
             self._request(command)
 
@@ -167,6 +171,13 @@
         else:
             answer(ticket, 404)
 
+    def _operators_request(self, request: OperatorRequest) -> None:
+        path = request.path.partition("?")[0]
+        if path == "/shares" and self.shares is not None:
+            self.shares.request(request)
+        else:
+            self.core.answer(request.ticket, 404)
+
     def fresh_s(self) -> float:
         return self.core.now - self.view.fresh_at
 
@@ -205,6 +216,27 @@
         self.leadership.hold_off_s = standby.hold_off_s
         return standby
 
+    def _start_shares(self) -> SharesService | None:
+        """Only a controller that is to have them loads what shares need."""
+        if not self.core.settings.operators.shares.enabled:
+            return None
+        from fallpulley.shares.service import SharesService
+
+        shares = SharesService(
+            self.core,
+            self.view,
+            self.registry,
+            self.session,
+            self.leadership,
+            self.writer,
+            self.jobs,
+            self.held,
+        )
+        self.jobs.block_of_team = shares.block_of_team
+        self.leadership.blocks_to_open = shares.blocks_to_open
+        self.provider.block_for_rental = shares.block_for_rental
+        return shares
+
     def _peer(self, body: bytes) -> None:
         if body.startswith(STANDBY_TAGS):
             if self.standby is not None:
@@ -262,6 +294,10 @@
         if key.startswith(JOBS):
             self._on_job(key[len(JOBS) :], value, stamp)
             return
+        if key == SHARES:
+            if self.shares is not None:
+                self.shares.on_record(value)
+            return
         previous = None
         if key.startswith(BLOCKS):
             entry = self.registry.blocks.get(key[len(BLOCKS) :])
@@ -391,12 +427,15 @@
                 machine_requests = self.autoscaler.tick(held, term is not None)
                 if machine_requests:
                     self._machine_requests[held.label] = machine_requests
+        if self.shares is not None:
+            self.shares.tick()
         self.writer.tick()
         if self.peers.due():
             counts = self._counts()
             if term is not None:
                 self.provider.targets = self.balance.target_sizes()
-            self.balance.hand_over(self.held)
+            if self.shares is None:
+                self.balance.hand_over(self.held)
             machine_requests = [
                 request for block in self._machine_requests.values() for request in block
             ]
--- a/fallpulley/effects.py
+++ b/fallpulley/effects.py
@@ -23,6 +23,15 @@
     body: bytes
 
 
+class OperatorRequest(msgspec.Struct):
+    """A request of an operator's tool on the mesh address."""
+
+    ticket: Any
+    method: str
+    path: str
+    body: bytes
+
+
 class Result(msgspec.Struct):
     """The outcome of a `Call`."""
 
@@ -38,7 +47,7 @@
     body: bytes
 
 
-Command = Request | Result | PeerMessage
+Command = Request | OperatorRequest | Result | PeerMessage
 
 
 class Answer(msgspec.Struct):
--- a/fallpulley/fleet/provider.py
+++ b/fallpulley/fleet/provider.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
@@ -56,6 +57,8 @@
             str, tuple[RentalRequest, str]
         ] = {}  # rental requests without an answer yet
         self.answered_at = float("-inf")  # when the cloud last answered a rental request
+        # The block that rented machines go to, by the one that asked for them.
+        self.block_for_rental: Callable[[str], str] = lambda asked_for: asked_for
         self._counter = 0
         self._term = 0
         self._began_at = float("-inf")  # when our term began
@@ -289,7 +292,8 @@
             hired = _decode(body, RentalAnswer) or RentalAnswer()
             self._grant(hired.hosts, request, block)
 
-    def _grant(self, hosts: list[str], request: RentalRequest, block: str) -> None:
+    def _grant(self, hosts: list[str], request: RentalRequest, asked_for: str) -> None:
+        block = self.block_for_rental(asked_for)
         log.info(
             "machines rented n=%d of=%d build=%s zone=%s spot=%s block=%s",
             len(hosts),
--- a/fallpulley/jobs/service.py
+++ b/fallpulley/jobs/service.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -67,6 +68,8 @@
         self.derived: dict[str, dict[str, Known]] = {}
         # Jobs that others' records have made ready, withdrawn or more urgent, for the owner to act.
         self.touched: set[str] = set()
+        # The block that a team's new jobs go to; None: whichever has the least work.
+        self.block_of_team: Callable[[str], str | None] = lambda team: None
         self.called_off: list[str] = []  # cancellations just made durable here
 
     # -- records ---------------------------------------------------------------------------
@@ -168,7 +171,11 @@
 
     def load(self, block: str) -> float:
         """Estimated work of a block's unfinished jobs, in processor-seconds."""
-        work = 0.0
+        return sum(self.load_by_priority(block).values())
+
+    def load_by_priority(self, block: str) -> dict[str, float]:
+        """The same by the jobs' own priorities. Jobs that await others are no work yet."""
+        work = dict.fromkeys(RANKS, 0.0)
         for job in self.open_by_block.get(block, ()):
             record = self.known[job].record
             node = self.pipelines.node(job)
@@ -177,7 +184,7 @@
             if record is not None and record.spec is not None:
                 spec = record.spec
                 left = spec.pieces - self.counts.get(job, (0, 0))[0]
-                work += left * max(spec.cpus, 0.1) * spec.expect_s
+                work[spec.rank] += left * max(spec.cpus, 0.1) * spec.expect_s
         return work
 
     # -- answers ---------------------------------------------------------------------------
@@ -318,6 +325,9 @@
         """The open block with the least work for its machines; a limited team's own block."""
         if self.teams[spec.crew].limited and spec.crew in self.registry.homes:
             return self.registry.homes[spec.crew]
+        assigned = self.block_of_team(spec.crew)
+        if assigned is not None:
+            return assigned
         best: tuple[float, str] | None = None
         for label, (record, _) in self.registry.blocks.items():
             size = sum(
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -59,6 +59,8 @@
     for machine in held.machines.values():
         if not machine.usable or not machine.used or now < machine.refuse_until:
             continue
+        if machine.draining:
+            continue
         slot = machine.slot
         if slot is None or now >= slot.until:
             kind = types.get(machine.entry.build)
--- a/fallpulley/serve.py
+++ b/fallpulley/serve.py
@@ -10,7 +10,7 @@
 import anyio
 
 from fallpulley.controller import Controller
-from fallpulley.effects import Answer, Call, Command, PeerMessage, Request, Result
+from fallpulley.effects import Answer, Call, Command, OperatorRequest, PeerMessage, Request, Result
 from fallpulley.settings import Settings
 from fallpulley.wire.client import Client
 from fallpulley.wire.limit import AdaptiveLimit
@@ -48,12 +48,14 @@
             self._wake.set()
 
     def post_peer(self, request: Request) -> None:
-        """What reaches the mesh address is a message; it has no answer but that it came."""
+        """What reaches the mesh address is a peer's message, which has no answer but that it came,
+        or an operator's request."""
         if request.method == "POST" and request.path == "/beat":
             self.post(PeerMessage(request.body))
             request.ticket.settle(204, b"", None)
         else:
-            request.ticket.settle(404, b"", None)
+            operators = OperatorRequest(request.ticket, request.method, request.path, request.body)
+            self.post(operators)
 
     async def run(self) -> None:
         limits = self.settings.facts.machine_limits
--- a/fallpulley/settings.py
+++ b/fallpulley/settings.py
@@ -141,6 +141,16 @@
     session_s: Annotated[float, Meta(ge=0.5, le=60)] = 2.5
 
 
+class SharesSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[shares]`: each controller's block has a share of the fleet (docs/shares.md)."""
+
+    enabled: bool = False
+    # An expression in CEL that gives weights; none: operators set them.
+    policy: str = ""
+    # The policy is looked at so often.
+    policy_every_s: Annotated[float, Meta(ge=5, le=86_400)] = 30.0
+
+
 class Operators(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The operators' own settings, all optional. docs/operations.md explains each."""
 
@@ -158,6 +168,7 @@
     # Machines never rented beyond this number (0: no bound of our own).
     machines_max: Annotated[int, Meta(ge=0)] = 0
     standby: StandbySettings = StandbySettings()
+    shares: SharesSettings = SharesSettings()
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -206,6 +217,21 @@
         raise SettingsError("facts.workers.report_s: must be below facts.workers.lease_s")
     if workers.lease_s * 1.2 >= workers.cancel_s:
         raise SettingsError("facts.workers.cancel_s: leaves no time beyond facts.workers.lease_s")
+    _check_shares(settings)
+
+
+def _check_shares(settings: Settings) -> None:
+    """An expression is tried on ordinary values, and only then loaded."""
+    shares = settings.operators.shares
+    if not shares.enabled or not shares.policy:
+        return
+    from fallpulley.shares.policy import PolicyError, check_expression
+
+    labels = [settings.label, *(seed.label for seed in settings.seeds)]
+    try:
+        check_expression(shares.policy, labels)
+    except PolicyError as error:
+        raise SettingsError(f"{OPERATORS_FILE}: shares.policy: {error}") from None
 
 
 def shortages(settings: Settings) -> list[str]:
--- /dev/null
+++ b/fallpulley/shares/messages.py
@@ -0,0 +1,85 @@
+"""The durable record of shares, and what operators send and get."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+# As many operations are remembered, so that one whose answer was lost gets it when repeated.
+OPERATIONS_KEPT = 8
+
+Label = Annotated[str, Meta(min_length=1, max_length=100)]
+OperationName = Annotated[str, Meta(min_length=1, max_length=64)]
+
+
+class Share(msgspec.Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True):
+    """What one controller's block is to have of the fleet, in processors."""
+
+    weight: float
+    floor: float = 0.0
+    ceiling: float = 0.0  # 0: none
+    teams: list[Label] = []  # whose new jobs go to this block
+
+
+class Operation(msgspec.Struct, frozen=True, array_like=True):
+    """A change that was carried out, and the revision that it made."""
+
+    name: str
+    revision: int
+
+
+class ShareTable(msgspec.Struct, frozen=True, omit_defaults=True):
+    """`live/shares`: the shares by controller; changed by compare-and-set alone."""
+
+    revision: int = 0
+    shares: dict[str, Share] = {}
+    operations: list[Operation] = []
+
+
+class SetShares(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`POST /shares`: the whole table, to take the place of the present one."""
+
+    shares: dict[Label, Share]
+    operation: OperationName
+    expect: int | None = None  # the revision that it was decided on; null: whatever there is
+
+
+class BlockState(msgspec.Struct, frozen=True):
+    """How far a block is from its share."""
+
+    block: str
+    holder: str
+    target: float  # processors
+    processors: float
+    machines: int
+    state: str
+    draining: int | None = None  # machines that take nothing new; null: not known here
+
+
+class SharesAnswer(msgspec.Struct, frozen=True):
+    """The shares and the blocks, as the controller that answers sees them."""
+
+    controller: str
+    revision: int
+    shares: dict[str, Share]
+    blocks: list[BlockState]
+    age_s: float  # of the controller's copy of the records
+    converged: bool
+
+
+class ErrorAnswer(msgspec.Struct, frozen=True):
+    """Why nothing was changed."""
+
+    error: str
+    reason: str
+    revision: int | None = None
+
+
+CONVERGED = "converged"
+MOVING = "moving"
+WAITING_FOR_TASKS = "waiting for tasks"
+WAITING_FOR_JOBS = "waiting for jobs"
+CONTROLLER_ABSENT = "controller absent"
+DOUBT = "doubt after takeover"
--- /dev/null
+++ b/fallpulley/shares/reconciler.py
@@ -0,0 +1,138 @@
+"""Brings a held block down to its share: idle machines leave at once, busy ones as they empty.
+
+Targets follow from records alone, so every holder reckons the same ones; nobody has to be told.
+A holder gives machines of its own block only, in the one transaction that changes both records on
+the stamps they were decided on. No task is stopped.
+"""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+
+from fallpulley.blocks.held import HeldBlock
+from fallpulley.blocks.registry import Registry
+from fallpulley.blocks.writer import BlockWriter
+from fallpulley.core import Core
+from fallpulley.shares.messages import ShareTable
+from fallpulley.shares.table import Move, moves, targets
+from fallpulley.state.client import Bucket
+from fallpulley.workers.machine import Machine
+
+log = logging.getLogger(__name__)
+
+# Of a controller's budget of changes, what moves of machines may take; each changes two records.
+MOVE_SHARE, MOVE_CHANGES = 0.1, 2
+# A machine moves when the block has more than this part of it too much: two blocks that are as
+# near to their shares as whole machines allow leave each other alone.
+MOVE_PART = 0.5
+
+
+class Targets(msgspec.Struct, frozen=True):
+    """What blocks have and are to have, in processors."""
+
+    actual: dict[str, float]
+    wanted: dict[str, float]
+
+
+class Reconciler:
+    """Marks and moves the machines of held blocks."""
+
+    def __init__(self, core: Core, registry: Registry, writer: BlockWriter) -> None:
+        self.core = core
+        self.registry = registry
+        self.writer = writer
+        facts = core.settings.facts
+        rate = facts.state.write_rps / max(1, facts.nodes) * MOVE_SHARE / MOVE_CHANGES
+        self._bucket = Bucket(rate)
+
+    def targets(self, table: ShareTable, busy: set[str]) -> Targets:
+        """`busy`: blocks with unfinished jobs, which keep a machine whatever their share."""
+        actual = {label: self.processors(label) for label in self.registry.blocks}
+        fleet = sum(actual.values())
+        shares = {label: share for label, share in table.shares.items() if label in actual}
+        wanted = dict.fromkeys(actual, 0.0) | targets(shares, fleet)
+        return Targets(actual, self._with_least(wanted, busy, fleet))
+
+    def _with_least(
+        self, wanted: dict[str, float], busy: set[str], fleet: float
+    ) -> dict[str, float]:
+        """A job lives in its block until it is done: without a machine there it never would be."""
+        least = max((kind.cpus for kind in self.registry.types.values()), default=0.0)
+        short = {label for label in busy if label in wanted and wanted[label] < least}
+        for label in sorted(short):
+            richest = max(wanted, key=lambda name: wanted[name])
+            missing = min(least - wanted[label], max(0.0, wanted[richest] - least))
+            wanted[label] += missing
+            wanted[richest] -= missing
+        return wanted
+
+    def processors(self, label: str) -> float:
+        """Of all machines in a block's record."""
+        record, _ = self.registry.blocks[label]
+        types = self.registry.types
+        return sum(types[m.build].cpus for m in record.machines.values() if m.build in types)
+
+    # -- a held block ----------------------------------------------------------------------
+
+    def reconcile(self, held: HeldBlock, found: Targets) -> None:
+        """Mark what is to leave, and let go of what has become empty."""
+        own = [move for move in moves(found.actual, found.wanted) if move.giver == held.label]
+        leaving = self._choose(held, sum(move.processors for move in own))
+        for host, machine in held.machines.items():
+            self._mark(held, machine, host in leaving)
+        self._bucket.refill(self.core.now)
+        if own and self._bucket.tokens >= 1 and not self.writer.handing.get(held.label):
+            self._move_empty(held, own[0], leaving)
+
+    def _cpus(self, machine: Machine) -> float:
+        kind = self.registry.types.get(machine.entry.build)
+        return kind.cpus if kind is not None else 0.0
+
+    def _choose(self, held: HeldBlock, surplus: float) -> set[str]:
+        """Machines to leave, those first whose leaving disturbs least: idle, marked already, then
+        with the least running."""
+
+        def disturbed(machine: Machine) -> tuple[bool, bool, float]:
+            running = sum(run.need[0] for run in machine.runs.values())
+            return (not machine.empty, not machine.draining, running)
+
+        chosen: set[str] = set()
+        for machine in sorted(held.machines.values(), key=disturbed):
+            cpus = self._cpus(machine)
+            if cpus <= 0 or machine.leaving or not machine.usable:
+                continue
+            if surplus <= MOVE_PART * cpus:
+                continue
+            chosen.add(machine.host)
+            surplus -= cpus
+        return chosen
+
+    def _mark(self, held: HeldBlock, machine: Machine, leaves: bool) -> None:
+        if machine.draining == leaves:
+            return
+        machine.draining = leaves
+        machine.slot = None
+        held.dirty = True
+        if leaves:
+            held.booked.pop(machine.host, None)
+        log.debug("machine draining=%s machine=%s block=%s", leaves, machine.host, held.label)
+
+    def _move_empty(self, held: HeldBlock, move: Move, leaving: set[str]) -> None:
+        left = move.processors
+        moved = 0
+        for host in sorted(leaving):
+            machine = held.machines[host]
+            cpus = self._cpus(machine)
+            if not machine.empty or left <= MOVE_PART * cpus or machine.leaving:
+                continue
+            machine.leaving = True
+            held.booked.pop(host, None)
+            held.dirty = True
+            self.writer.hand_over(held.label, host, move.taker)
+            left -= cpus
+            moved += 1
+        if moved:
+            self._bucket.tokens -= 1
+            log.info("machines moved by shares n=%d from=%s to=%s", moved, move.giver, move.taker)
--- a/fallpulley/workers/machine.py
+++ b/fallpulley/workers/machine.py
@@ -74,6 +74,7 @@
         self.completed = 0
         self.refuse_until = float("-inf")
         self.used = False  # marked in the block's record: tasks may be started
+        self.draining = False  # takes no new tasks: it is to leave the block when it is empty
         self.leaving = False  # a record without this machine is being written
         self.idle_since: float | None = None
         self.fence_busy = False
--- a/tests/loopback/deployment.py
+++ b/tests/loopback/deployment.py
@@ -32,6 +32,8 @@
 skew_ms = 50.0
 [[facts.teams]]
 name = "crew"
+[[facts.teams]]
+name = "lookup"
 [facts.workers]
 report_s = 1.0
 lease_s = {lease_s}
--- /dev/null
+++ b/tests/loopback/measure_shares.py
@@ -0,0 +1,163 @@
+"""How long shares take to be met, and what they give the side that does not flood.
+
+    python3 -m tests.loopback.measure_shares --machines 50 --moves 20 --part 0.25
+    python3 -m tests.loopback.measure_shares --machines 50 --flood 60 --shares off
+
+Real processes on this machine against the stand-ins. Moves a part of the fleet back and forth under
+load and prints percentiles until the blocks match; or lets one team flood and prints how long the
+other team's jobs take.
+"""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+import tempfile
+import time
+
+import anyio
+import anyio.abc
+import msgspec
+
+from fallpulley.shares.messages import SetShares, Share, SharesAnswer
+from tests.loopback.deployment import Deployment, running
+from tests.loopback.measure_takeover import Load, histogram, percentiles
+from tests.world import LABELS, job
+
+TASK_S = 5.0
+LOOKUP_EVERY_S = 2.0
+MET_WITHIN_S = 120.0
+LOOKUP_FIRST = 500_000  # numbers of the other team's jobs
+
+
+async def set_shares(deployment: Deployment, shares: dict[str, Share]) -> SharesAnswer:
+    """Replace the table, at whichever controller answers."""
+    request = SetShares(shares, f"measure-{time.monotonic_ns()}")
+    while True:
+        for label in LABELS:
+            answer = await shares_call(deployment, label, msgspec.json.encode(request))
+            if answer is not None:
+                return answer
+        await anyio.sleep(0.2)
+
+
+async def shares_call(
+    deployment: Deployment, label: str, body: bytes | None
+) -> SharesAnswer | None:
+    """`POST /shares` with a body, `GET` without; None where that did not succeed."""
+    done = anyio.Event()
+    found: list[SharesAnswer] = []
+
+    def answered(status: int | None, answer: bytes) -> None:
+        if status == 200:
+            found.append(msgspec.json.decode(answer, type=SharesAnswer))
+        done.set()
+
+    assert deployment.world.client is not None
+    method = "POST" if body else "GET"
+    address = deployment.mesh[label]
+    deployment.world.client.call(address, method, "/shares", body, 5.0, answered)
+    await done.wait()
+    return found[0] if found else None
+
+
+async def met(deployment: Deployment) -> None:
+    """Wait until a controller says that all blocks match their shares."""
+    until = time.monotonic() + MET_WITHIN_S
+    while time.monotonic() < until:
+        answer = await shares_call(deployment, LABELS[0], None)
+        if answer is not None and answer.converged:
+            return
+        await anyio.sleep(0.05)
+    raise TimeoutError(f"shares not met within {MET_WITHIN_S} s: {answer}")
+
+
+async def move(deployment: Deployment, moves: int, part: float) -> None:
+    """Move a part of the fleet to one block and back."""
+    world = deployment.world
+    taken = histogram()
+    await set_shares(deployment, {"node-0": Share(1.0), "node-1": Share(1.0)})
+    await met(deployment)
+    changes, began, starts = world.state.changes, world.now, len(world.starts_seen)
+    for turn in range(moves):
+        first = 0.5 + part if turn % 2 == 0 else 0.5
+        since = time.monotonic()
+        await set_shares(deployment, {"node-0": Share(first), "node-1": Share(1.0 - first)})
+        await met(deployment)
+        taken.record_value(round((time.monotonic() - since) * 1000))
+        await anyio.sleep(2.0)
+    seconds = world.now - began
+    print(percentiles("shares met after", taken))
+    print(
+        f"{len(world.starts_seen) - starts} tasks started, {len(world.stopped)} stopped,"
+        f" {(world.state.changes - changes) / seconds:.1f} changes a second"
+    )
+
+
+async def lookups(deployment: Deployment, seconds: float) -> None:
+    """Small jobs of the other team while the first one floods."""
+    world = deployment.world
+    taken = histogram()
+    until = world.now + seconds
+    number = LOOKUP_FIRST
+
+    async def one(uid: int) -> None:
+        spec = job(uid, crew="lookup", pieces=2, expect_s=2.0, size_gb=0.1)
+        world.times[spec["uid"]] = 2.0
+        since = time.monotonic()
+        if await world.submit(spec):
+            await deployment.until(
+                lambda: bool(world.stage(spec["uid"]) == "done"), 300.0, "a lookup is done"
+            )
+            taken.record_value(round((time.monotonic() - since) * 1000))
+
+    async with anyio.create_task_group() as tasks:
+        while world.now < until:
+            number += 1
+            tasks.start_soon(one, number)
+            await anyio.sleep(LOOKUP_EVERY_S)
+    print(percentiles("the other team's jobs done after", taken))
+
+
+async def measure(options: argparse.Namespace, folder: pathlib.Path) -> None:
+    """One deployment, under a load that never ends."""
+    enabled = "true" if options.shares == "on" else "false"
+    operators = (
+        f"machines_max = {options.machines}\nidle_boots = 50.0\n[shares]\nenabled = {enabled}\n"
+    )
+    async with running(folder, options.machines, 20.0, operators) as deployment:
+        world = deployment.world
+        async with anyio.create_task_group() as tasks:
+            if options.flood and options.shares == "on":
+                table = {"node-0": Share(1.0, teams=["crew"])}
+                table["node-1"] = Share(1.0, teams=["lookup"])
+                await set_shares(deployment, table)
+                await met(deployment)
+            tasks.start_soon(Load(deployment, TASK_S, options.machines).run)
+            await deployment.until(
+                lambda: len(world.starts_seen) >= options.machines // 2, 60.0, "work has begun"
+            )
+            if options.flood:
+                await lookups(deployment, options.flood)
+            else:
+                await move(deployment, options.moves, options.part)
+            tasks.cancel_scope.cancel()
+        assert not world.broken
+
+
+def main() -> None:
+    """The command line."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else "")
+    parser.add_argument("--machines", type=int, default=50)
+    parser.add_argument("--moves", type=int, default=20)
+    parser.add_argument("--part", type=float, default=0.25, help="of the fleet, moved each time")
+    parser.add_argument("--flood", type=float, default=0.0, help="seconds of the other measurement")
+    parser.add_argument("--shares", choices=("on", "off"), default="on")
+    options = parser.parse_args()
+    print(f"{options.machines} machines, shares {options.shares}, part {options.part}")
+    with tempfile.TemporaryDirectory() as folder:
+        anyio.run(measure, options, pathlib.Path(folder), backend="asyncio")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/loopback/measure_takeover.py
+++ b/tests/loopback/measure_takeover.py
@@ -24,6 +24,8 @@
 LONGEST_MS = 120_000
 TASK_S = 15.0
 PIECES = 2000
+# Tasks kept waiting for each machine.
+WAITING_TASKS = 4
 STEADY_S = 4.0  # between a takeover and the next one, at the least
 STATUS = re.compile(r"replication block=\S+ term=(\d+) entries=(\d+) bytes=(\d+)")
 TICKS = os.sysconf("SC_CLK_TCK")
@@ -32,23 +34,28 @@
 class Load:
     """Keeps more tasks waiting than there is room for."""
 
-    def __init__(self, deployment: Deployment) -> None:
+    def __init__(
+        self, deployment: Deployment, task_s: float = TASK_S, pieces: int = PIECES
+    ) -> None:
         self.deployment = deployment
         self.world = deployment.world
+        self.task_s = task_s
+        self.pieces = pieces
         self.number = 0
 
     def waiting(self) -> int:
         started = len({piece for _, piece, _ in self.world.starts_seen})
-        return self.number * PIECES - started
+        return self.number * self.pieces - started
 
     async def run(self) -> None:
         """Submit further jobs as they are needed."""
         while True:
-            if self.waiting() < PIECES:
-                spec = job(self.number + 1, pieces=PIECES, expect_s=TASK_S, size_gb=0.1)
-                self.world.times[spec["uid"]] = TASK_S
+            if self.waiting() < self.deployment.world.capacity * WAITING_TASKS:
+                spec = job(self.number + 1, pieces=self.pieces, expect_s=self.task_s, size_gb=0.1)
+                self.world.times[spec["uid"]] = self.task_s
                 if await self.world.submit(spec, 60.0):
                     self.number += 1
+                    continue
             await anyio.sleep(0.2)
 
 
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
+import subprocess
+import sys
 
 import anyio
+import anyio.to_thread
 
-from tests.loopback.deployment import Deployment, running
-from tests.world import job
+from tests.loopback.deployment import ROOT, Deployment, running
+from tests.test_shares import check_history
+from tests.world import LABELS, job
 
 LEASE_S = 8.0
+SHARES = "idle_boots = 50.0\n[shares]\nenabled = true\n"
 STANDBY = "[standby]\nenabled = true\nbatch_s = 0.2\n"
 
 
@@ -60,3 +66,60 @@
 ) -> None:
     """The stand-ins watch for tasks on two machines and for work on unconfirmed ones."""
     anyio.run(scenario, tmp_path, backend="asyncio")
+
+
+def shares_command(deployment: Deployment, *words: str) -> subprocess.CompletedProcess[str]:
+    """The command as an operator types it."""
+    addresses = [part for label in LABELS for part in ("--controller", deployment.mesh[label])]
+    return subprocess.run(
+        [sys.executable, "run.py", "shares", words[0], *addresses, *words[1:]],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=60.0,
+    )
+
+
+async def typed(deployment: Deployment, *words: str) -> subprocess.CompletedProcess[str]:
+    """The stand-ins go on while the command runs."""
+    return await anyio.to_thread.run_sync(shares_command, deployment, *words)
+
+
+async def shares_scenario(folder: pathlib.Path) -> None:
+    async with running(folder, 9, LEASE_S, SHARES) as deployment:
+        world = deployment.world
+        await anyio.sleep(2.0)
+        done = await typed(deployment, "set", "node-0=1", "node-1=1", "--wait", "25", "--json")
+        assert done.returncode == 0, done.stderr
+        assert json.loads(done.stdout)["revision"] == 1
+        names = []
+        for turn in range(4):
+            names += await submit_all(deployment, 10 * turn + 1, 3)
+            weights = ["node-0=5", "node-1=1"] if turn % 2 else ["node-0=1", "node-1=5"]
+            done = await typed(deployment, "set", *weights, "--operation", f"turn-{turn}")
+            assert done.returncode == 0, done.stderr
+            if turn == 1:
+                holder = world.blocks()["live/block/node-0"]["holder"]
+                deployment.kill(holder)
+                await anyio.sleep(3.0)
+                deployment.start(holder)
+            await anyio.sleep(2.0)
+        late = await typed(deployment, "set", "node-0=1", "--expect", "1")
+        assert late.returncode == 5 and "--expect 5" in late.stderr
+        wrong = await typed(deployment, "set", "node-9=1")
+        assert wrong.returncode == 6 and "no controller node-9" in wrong.stderr
+        await deployment.until(
+            lambda: all(world.stage(name) == "done" for name in names), 90.0, "all jobs are done"
+        )
+        done = await typed(deployment, "set", "node-0=5", "node-1=1", "--wait", "40")
+        assert done.returncode == 0, done.stdout + done.stderr
+        assert "converged" in done.stdout and not world.stopped and not world.broken
+        check_history(world)
+
+
+def test_shares_moved_back_and_forth_by_the_command_while_a_holder_is_killed(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The history of state service and workers is looked through by the checker of its own."""
+    anyio.run(shares_scenario, tmp_path, backend="asyncio")
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,550 @@
+"""Shares of the fleet: moved while jobs run, and no machine is ever promised twice."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import math
+import random
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from fallpulley.blocks.messages import decode_block
+from fallpulley.cli import main
+from fallpulley.effects import OperatorRequest
+from fallpulley.settings import SharesSettings, Team
+from fallpulley.shares.command import UsageError, parse_table
+from fallpulley.shares.messages import SetShares, Share, ShareTable
+from fallpulley.shares.policy import Policy, PolicyError, PolicyInput, check_expression, compiled
+from fallpulley.shares.table import (
+    ConflictError,
+    RefusedError,
+    Situation,
+    change,
+    check,
+    moves,
+    targets,
+)
+from tests.test_standby import write_files
+from tests.test_stories import others, submit
+from tests.world import LABELS, TEAMS, World
+
+ON: dict[str, Any] = {"shares": {"enabled": True}, "idle_boots": 50.0}
+EVEN = {"node-0": 1.0, "node-1": 1.0, "node-2": 1.0}
+
+
+# -- arithmetic --------------------------------------------------------------------------------
+
+
+def situation(fleet: float = 100.0, **homes: str) -> Situation:
+    teams = {"crew": Team("crew"), "small": Team("small", cpus_max=8.0)}
+    return Situation(["a", "b", "c"], teams, homes, fleet)
+
+
+@pytest.mark.parametrize(
+    ("shares", "why"),
+    [
+        ({}, "no shares"),
+        ({"d": Share(1.0)}, "no controller d"),
+        ({"a": Share(-1.0)}, "weight of a is -1"),
+        ({"a": Share(math.nan)}, "weight of a is nan"),
+        ({"a": Share(1.0, floor=-2.0)}, "floor of a is -2"),
+        ({"a": Share(1.0, ceiling=math.inf)}, "ceiling of a is inf"),
+        ({"a": Share(1.0, 20.0, 10.0)}, "ceiling of a is below its floor"),
+        ({"a": Share(0.0), "b": Share(0.0)}, "no share has a weight"),
+        ({"a": Share(1.0, 60.0), "b": Share(1.0, 50.0)}, "floors of 110 exceed the fleet of 100"),
+        ({"a": Share(1.0, teams=["nobody"])}, "no team nobody"),
+        ({"c": Share(1.0, teams=["small"]), "b": Share(1.0, teams=["small"])}, "small stands at"),
+        ({"b": Share(1.0, teams=["small"])}, "team small has a limit and lives in block c"),
+    ],
+)
+def test_impossible_shares_are_refused_with_the_reason(shares: dict[str, Share], why: str) -> None:
+    with pytest.raises(RefusedError, match=why):
+        check(shares, situation(small="c"))
+
+
+def test_a_change_is_one_revision_and_a_repeat_of_it_the_same() -> None:
+    first = change(ShareTable(), SetShares({"a": Share(1.0)}, "one", 0), situation())
+    assert (first.revision, first.shares) == (1, {"a": Share(1.0)})
+    assert change(first, SetShares({"a": Share(1.0)}, "one", 0), situation()) is first
+    with pytest.raises(ConflictError, match="revision 1"):
+        change(first, SetShares({"b": Share(1.0)}, "two", 0), situation())
+    table = first
+    for n in range(20):
+        table = change(table, SetShares({"a": Share(1.0)}, f"n{n}"), situation())
+    assert table.revision == 21 and len(table.operations) <= 8
+
+
+share_tables = st.dictionaries(
+    st.sampled_from("abcde"),
+    st.builds(
+        lambda weight, floor, extra: Share(weight, floor, floor + extra if extra else 0.0),
+        st.floats(0.1, 10.0),
+        st.floats(0.0, 30.0),
+        st.sampled_from([0.0, 5.0, 50.0]),
+    ),
+    min_size=1,
+)
+
+
+@seed(21)
+@settings(max_examples=200, deadline=None)
+@given(shares=share_tables, fleet=st.floats(1.0, 300.0))
+def test_targets_add_up_to_the_fleet_within_floors_and_ceilings(
+    shares: dict[str, Share], fleet: float
+) -> None:
+    found = targets(shares, fleet)
+    assert sum(found.values()) == pytest.approx(fleet, rel=1e-3)
+    floors = sum(share.floor for share in shares.values())
+    ceilings = sum(share.ceiling or math.inf for share in shares.values())
+    for label, share in shares.items():
+        if floors <= fleet:
+            assert found[label] >= share.floor - 0.01
+        if share.ceiling and ceilings >= fleet:
+            assert found[label] <= share.ceiling + 0.01
+    actual = dict.fromkeys(shares, fleet / len(shares))
+    after = dict(actual)
+    for move in moves(actual, found):
+        assert move.processors > 0
+        after[move.giver] -= move.processors
+        after[move.taker] += move.processors
+    for label in shares:
+        assert after[label] == pytest.approx(found[label], abs=0.01 * fleet)
+
+
+# -- the world, and a checker of its own -------------------------------------------------------
+
+
+def check_history(world: World) -> None:
+    """From the state service's history and the workers' alone: a machine stands in one block at a
+    time, leaves a block for another one or to be released, and takes no task under a token from
+    before it came to the block it is in."""
+    hosts: dict[str, dict[str, int]] = {}  # block -> machine -> stamp at which it came
+    ran = sorted(world.ran)
+    at = 0
+    for stamp, events in itertools.groupby(world.state.log, key=lambda event: event["stamp"]):
+        while at < len(ran) and ran[at][0] < stamp:
+            _, host, token = ran[at]
+            came = [machines[host] for machines in hosts.values() if host in machines]
+            assert all(token >= since for since in came), (host, token, came)
+            at += 1
+        before = {host for machines in hosts.values() for host in machines}
+        released: set[str] = set()
+        for event in events:
+            key = event.get("set", "")
+            if key.startswith("live/block/"):
+                record = decode_block(json.dumps(event["v"]).encode())
+                known = hosts.get(key, {})
+                hosts[key] = {host: known.get(host, stamp) for host in record.machines}
+            elif key.startswith("live/retire/"):
+                released |= {key.rpartition("/")[2], *event["v"].get("hosts", [])}
+        places = [host for machines in hosts.values() for host in machines]
+        assert len(places) == len(set(places)), f"a machine in two blocks at {stamp}"
+        assert before - set(places) <= released, f"a machine in no block at {stamp}"
+
+
+def operator(world: World, label: str, method: str, body: Any = None) -> list[Any]:
+    """Send a tool's request; the returned list gets status and body."""
+    found: list[Any] = []
+
+    def settle(status: int, answer: bytes, retry: float | None) -> None:
+        found.extend([status, json.loads(answer) if answer else None])
+
+    data = msgspec.json.encode(body) if body is not None else b""
+    world.commands[label].append(OperatorRequest(settle, method, "/shares", data))
+    return found
+
+
+def ask(world: World, label: str, method: str, body: Any = None) -> tuple[int, Any]:
+    found = operator(world, label, method, body)
+    world.until(lambda: bool(found), 6.0)
+    return found[0], found[1]
+
+
+def wish(weights: dict[str, float], operation: str, expect: int | None = None) -> SetShares:
+    shares = {label: Share(weight) for label, weight in weights.items()}
+    return SetShares(shares, operation, expect)
+
+
+def sizes(world: World) -> dict[str, int]:
+    return {
+        key[len("live/block/") :]: len(decode_block(json.dumps(record).encode()).machines)
+        for key, record in world.blocks().items()
+    }
+
+
+def shared(weights: dict[str, float], machines: int = 9, **over: Any) -> World:
+    """A world whose machines are shared so."""
+    world = World(machines, operators=ON | over)
+    world.capacity = machines
+    world.until(lambda: bool(world.blocks()), 8.0)
+    world.run(4.0)
+    status, answer = ask(world, "node-0", "POST", wish(weights, "first"))
+    assert status == 200 and answer["revision"] == 1
+    world.until(lambda: len(sizes(world)) == len(weights), 10.0)
+    return world
+
+
+def placed(world: World, wanted: dict[str, int]) -> bool:
+    return sizes(world) == wanted
+
+
+def test_idle_machines_move_at_once_and_every_controller_tells_the_same() -> None:
+    world = shared({"node-0": 2.0, "node-1": 1.0})
+    world.until(lambda: placed(world, {"node-0": 6, "node-1": 3}), 20.0)
+    for label in LABELS:
+        status, answer = ask(world, label, "GET")
+        assert status == 200 and answer["converged"] and answer["revision"] == 1
+        assert [block["target"] for block in answer["blocks"]] == [48.0, 24.0]
+    world.run(10.0)
+    assert placed(world, {"node-0": 6, "node-1": 3})
+    check_history(world)
+
+
+def test_a_share_below_what_runs_waits_for_the_tasks_and_stops_none() -> None:
+    world = shared({"node-0": 1.0, "node-1": 1.0}, machines=8)
+    world.until(lambda: placed(world, {"node-0": 4, "node-1": 4}), 20.0)
+    jobs = [submit(world, n, pieces=8) for n in range(1, 5)]
+    for job in jobs:
+        world.times[job] = 25.0
+    world.until(lambda: len(world.running()) == 16, 20.0)
+    before = set(world.running())
+    status, answer = ask(world, "node-2", "POST", wish({"node-0": 7.0, "node-1": 1.0}, "second"))
+    assert status == 200
+    world.run(6.0)
+    giver = world.blocks()["live/block/node-1"]["holder"]
+    _, answer = ask(world, giver, "GET")
+    (state,) = [block for block in answer["blocks"] if block["block"] == "node-1"]
+    assert state["state"] == "waiting for tasks" and state["draining"] == 3
+    assert before <= set(world.running()) and sizes(world)["node-1"] == 4
+    world.until(lambda: placed(world, {"node-0": 7, "node-1": 1}), 60.0)
+    world.until(lambda: all(world.stage(job) == "done" for job in jobs), 120.0)
+    assert not world.stopped
+    check_history(world)
+
+
+def test_a_share_that_grows_again_before_it_has_drained_keeps_its_machines() -> None:
+    world = shared({"node-0": 1.0, "node-1": 1.0}, machines=8)
+    world.until(lambda: placed(world, {"node-0": 4, "node-1": 4}), 20.0)
+    jobs = [submit(world, n, pieces=8) for n in range(1, 5)]
+    for job in jobs:
+        world.times[job] = 20.0
+    world.until(lambda: len(world.running()) == 16, 20.0)
+    ask(world, "node-2", "POST", wish({"node-0": 7.0, "node-1": 1.0}, "second"))
+    world.run(3.0)
+    ask(world, "node-2", "POST", wish({"node-0": 1.0, "node-1": 1.0}, "third"))
+    world.until(lambda: all(world.stage(job) == "done" for job in jobs), 120.0)
+    assert placed(world, {"node-0": 4, "node-1": 4}) and not world.stopped
+    check_history(world)
+
+
+def test_a_share_that_shrinks_to_nothing_ends_its_jobs_first() -> None:
+    world = shared({"node-0": 1.0, "node-1": 1.0}, machines=6)
+    world.until(lambda: placed(world, {"node-0": 3, "node-1": 3}), 20.0)
+    jobs = [submit(world, n, pieces=6) for n in range(1, 7)]
+    world.run(2.0)
+    ask(world, "node-0", "POST", wish({"node-0": 1.0}, "second"))
+    world.until(lambda: all(world.stage(job) == "done" for job in jobs), 120.0)
+    world.until(lambda: placed(world, {"node-0": 6, "node-1": 0}), 30.0)
+    last = submit(world, 9)
+    world.until(lambda: world.stage(last) == "done", 40.0)
+    check_history(world)
+
+
+def test_of_two_changes_at_the_same_moment_one_wins_and_the_other_is_told() -> None:
+    world = shared({"node-0": 1.0, "node-1": 1.0})
+    one = operator(world, "node-0", "POST", wish({"node-0": 3.0}, "one", 1))
+    two = operator(world, "node-1", "POST", wish({"node-1": 3.0}, "two", 1))
+    world.until(lambda: bool(one and two), 6.0)
+    assert sorted([one[0], two[0]]) == [200, 409]
+    lost, won = (one, two) if one[0] == 409 else (two, one)
+    assert lost[1]["revision"] == won[1]["revision"] == 2
+    for label in LABELS:
+        assert ask(world, label, "GET")[1]["revision"] == 2
+
+
+def test_a_winner_whose_answer_was_lost_gets_it_when_it_asks_again() -> None:
+    world = shared({"node-0": 1.0, "node-1": 1.0})
+    for label in LABELS:
+        world.unanswered[label] = 0.0
+    request = wish({"node-0": 1.0, "node-2": 2.0}, "again", 1)
+    first = ask(world, "node-1", "POST", request)
+    world.unanswered.clear()
+    for label in ("node-1", "node-0"):
+        status, answer = ask(world, label, "POST", request)
+        assert status == 200 and answer["revision"] == 2
+    assert first[0] in (200, 503)
+    assert ask(world, "node-2", "POST", wish({"node-0": 1.0}, "late", 1))[0] == 409
+
+
+@pytest.mark.parametrize("whom", ["giver", "taker", "leader"])
+@pytest.mark.parametrize("frozen", [False, True])
+@pytest.mark.parametrize("moment_s", [0.1, 0.6])
+def test_an_end_or_a_freeze_around_a_move_promises_no_machine_twice(
+    whom: str, frozen: bool, moment_s: float
+) -> None:
+    world = shared({"node-0": 1.0, "node-1": 1.0}, machines=8)
+    world.until(lambda: placed(world, {"node-0": 4, "node-1": 4}), 20.0)
+    jobs = [submit(world, n, pieces=6) for n in range(1, 6)]
+    world.run(2.0)
+    ask(world, "node-2", "POST", wish({"node-0": 1.0, "node-1": 3.0}, "second"))
+    world.run(moment_s)
+    holders = {key[-6:]: record["holder"] for key, record in world.blocks().items()}
+    leader = world.state.data["live/leader"][0]["label"]
+    victim = {"giver": holders["node-0"], "taker": holders["node-1"], "leader": leader}[whom]
+    if frozen:
+        world.paused.add(victim)
+    else:
+        world.crash(victim)
+    world.run(7.0)
+    world.paused.discard(victim)
+    if victim not in world.controllers:
+        world.boot(victim)
+    world.until(lambda: placed(world, {"node-0": 2, "node-1": 6}), 90.0)
+    world.until(lambda: all(world.stage(job) == "done" for job in jobs), 120.0)
+    check_history(world)
+
+
+@pytest.mark.parametrize("slow_s", [0.0, 0.3, 0.8])
+def test_two_givers_and_the_takers_own_changes_meet_in_one_record(slow_s: float) -> None:
+    world = shared(EVEN, machines=12)
+    world.until(lambda: placed(world, {"node-0": 4, "node-1": 4, "node-2": 4}), 40.0)
+    world.slow_s = slow_s
+    for turn, weights in enumerate(
+        [
+            {"node-0": 8.0, "node-1": 1.0, "node-2": 1.0},
+            {"node-0": 1.0, "node-1": 8.0, "node-2": 1.0},
+            {"node-0": 1.0, "node-1": 1.0, "node-2": 8.0},
+        ]
+    ):
+        ask(world, LABELS[turn], "POST", wish(weights, f"turn-{turn}"))
+        submit(world, turn + 1, pieces=5)
+        world.run(5.0)
+    world.slow_s = 0.0
+    world.until(lambda: sizes(world)["node-2"] >= 9, 60.0)
+    check_history(world)
+
+
+def test_an_absent_controllers_share_stays_with_the_holder_and_returns_with_it() -> None:
+    world = shared(EVEN)
+    world.until(lambda: placed(world, {"node-0": 3, "node-1": 3, "node-2": 3}), 30.0)
+    world.crash("node-2")
+    world.until(lambda: world.blocks()["live/block/node-2"]["holder"] != "node-2", 15.0)
+    world.run(5.0)
+    assert sizes(world)["node-2"] == 3
+    world.boot("node-2")
+    world.until(lambda: world.blocks()["live/block/node-2"]["holder"] == "node-2", 60.0)
+    check_history(world)
+
+
+def test_a_teams_new_jobs_go_to_its_share_and_a_limited_team_stays_where_it_lives() -> None:
+    world = shared({"node-0": 1.0, "node-1": 1.0}, machines=6)
+    table = {"node-0": Share(1.0), "node-1": Share(1.0, teams=["crew", "small"])}
+    assert ask(world, "node-0", "POST", SetShares(table, "teams"))[0] == 200
+    for n, crew in enumerate(["crew", "small", "crew"], 1):
+        uid = submit(world, n, label="node-2", crew=crew, pieces=2)
+        record = world.state.data[f"live/job/{uid}"][0]
+        assert record["block"] == "node-1"
+    other = {"node-0": Share(1.0, teams=["small"]), "node-1": Share(1.0)}
+    status, answer = ask(world, "node-0", "POST", SetShares(other, "elsewhere"))
+    assert status == 422 and "lives in block node-1" in answer["reason"]
+    assert ask(world, "node-1", "GET")[1]["revision"] == 2
+
+
+def test_one_side_that_floods_leaves_the_other_its_share() -> None:
+    world = shared({"node-0": 1.0, "node-1": 1.0}, machines=8)
+    table = {"node-0": Share(1.0, teams=["crew"]), "node-1": Share(1.0, teams=["flood"])}
+    assert ask(world, "node-0", "POST", SetShares(table, "teams"))[0] == 422
+    table["node-1"] = Share(1.0, teams=["small"])
+    assert ask(world, "node-0", "POST", SetShares(table, "teams"))[0] == 200
+    world.until(lambda: placed(world, {"node-0": 4, "node-1": 4}), 20.0)
+    flood = submit(world, 1, pieces=400)
+    world.times[flood] = 20.0
+    world.run(5.0)
+    urgent = submit(world, 2, crew="small", pieces=2)
+    world.until(lambda: world.stage(urgent) == "done", 15.0)
+
+
+@pytest.mark.parametrize("off", ["node-0", "node-1"])
+def test_a_controller_without_shares_among_the_others_harms_nothing(off: str) -> None:
+    world = shared({"node-0": 1.0, "node-1": 1.0}, machines=6)
+    world.crash(off)
+    world.boot(off, operators={"idle_boots": 50.0})
+    world.run(6.0)
+    assert ask(world, off, "GET")[0] == 404
+    jobs = [submit(world, n, label=others(off)[0], pieces=4) for n in range(1, 4)]
+    world.until(lambda: all(world.stage(job) == "done" for job in jobs), 90.0)
+    check_history(world)
+
+
+def test_shares_moved_faster_than_they_can_be_met_keep_to_the_budget_of_changes() -> None:
+    world = shared({"node-0": 1.0, "node-1": 1.0}, machines=12)
+    world.run(10.0)
+    before, began = world.state.changes, world.now
+    for turn in range(40):
+        weights = {"node-0": 5.0, "node-1": 1.0} if turn % 2 else {"node-0": 1.0, "node-1": 5.0}
+        operator(world, LABELS[turn % 3], "POST", wish(weights, f"turn-{turn}"))
+        world.run(0.5)
+    used = world.state.changes - before
+    assert used <= 40 + 0.25 * 90.0 * (world.now - began)
+    world.until(lambda: placed(world, {"node-0": 10, "node-1": 2}), 40.0)
+    check_history(world)
+
+
+@seed(5)
+@settings(max_examples=10, deadline=None)
+@given(number=st.integers(0, 2**32))
+def test_shares_shifted_every_few_seconds_under_load_and_drawn_troubles(number: int) -> None:
+    """Ends, pauses, cuts, late and unanswered transactions; one team with a limit."""
+    chance = random.Random(number)
+    world = shared(EVEN, machines=9)
+    jobs: list[str] = []
+    for turn in range(8):
+        weights = {label: chance.choice([0.5, 1.0, 4.0]) for label in LABELS}
+        there = [label for label in world.controllers if label not in world.paused]
+        operator(world, chance.choice(there), "POST", wish(weights, f"turn-{turn}"))
+        world.run(0.5)
+        crew = chance.choice(TEAMS)["name"]
+        for n in range(2):
+            found = world.ask(
+                chance.choice(there),
+                "POST",
+                "/work",
+                job_of(10 * turn + n, crew, chance.randint(1, 5)),
+            )
+            world.run(0.4)
+            if found and found[0] == 201:
+                jobs.append(f"job-{10 * turn + n:06d}")
+        victim = chance.choice(LABELS)
+        trouble = chance.choice(["none", "crash", "pause", "cut", "late", "unanswered"])
+        if trouble == "crash":
+            world.crash(victim)
+        elif trouble == "pause":
+            world.paused.add(victim)
+        elif trouble == "cut":
+            world.cut.add((victim, "state"))
+        elif trouble in ("late", "unanswered"):
+            world.unanswered[victim] = 1.5 if trouble == "late" else 0.0
+        world.run(chance.choice([1.0, 3.0, 6.0]))
+        world.paused.clear()
+        world.cut.clear()
+        world.unanswered.clear()
+        if victim not in world.controllers:
+            world.boot(victim)
+        world.run(1.0)
+    world.until(lambda: all(world.stage(job) == "done" for job in jobs), 250.0)
+    assert not world.stopped
+    check_history(world)
+
+
+def job_of(uid: int, crew: str, pieces: int) -> dict[str, Any]:
+    from tests.world import job
+
+    return job(uid, crew=crew, pieces=pieces, expect_s=3.0)
+
+
+# -- the policy --------------------------------------------------------------------------------
+
+WEIGH = "{'node-0': load['node-0'] + 1.0, 'node-1': load['node-1'] + 1.0}"
+
+
+def values(one: float, two: float) -> PolicyInput:
+    loads = {"node-0": one, "node-1": two}
+    return PolicyInput(loads, {label: {"high": load} for label, load in loads.items()}, 8.0)
+
+
+@pytest.mark.parametrize(
+    ("expression", "why"),
+    [
+        ("{'node-0': ", ""),
+        ("1.0", "no map"),
+        ("{'node-9': 1.0}", "no controller: node-9"),
+        ("{'node-0': -1.0}", "weight of node-0 is -1"),
+        ("{'node-0': 0.0}", "no weight above 0"),
+        ("{'node-0': true}", "no number"),
+        ("{'node-0': load['elsewhere']}", ""),
+        ("{'node-0': 1.0 / 0.0 + nothing}", ""),
+        ("{'a': 1.0}" + " " * 3000, "longer than"),
+        ("[1].map(a, [1].map(b, [1].map(c, [1].map(d, [1].map(e, 1)))))", "macros"),
+    ],
+)
+def test_a_faulty_expression_is_refused_when_the_settings_are_checked(
+    expression: str, why: str, tmp_path: Any, monkeypatch: Any, capsys: Any
+) -> None:
+    with pytest.raises(PolicyError, match=why):
+        check_expression(expression, ["node-0", "node-1"])
+    node = write_files(tmp_path, monkeypatch, "")
+    toml = f"[shares]\nenabled = true\npolicy = {json.dumps(expression)}\n"
+    (tmp_path / "fallpulley.toml").write_text(toml)
+    assert main(["check-config", node]) == 3
+    assert "shares.policy" in capsys.readouterr().err
+
+
+def test_a_policy_gives_weights_by_load_backlog_and_hour() -> None:
+    assert compiled(WEIGH)(values(2.0, 0.0)) == {"node-0": 3.0, "node-1": 1.0}
+    urgent = "{'node-0': backlog['node-0']['high'] > 10.0 ? 2.0 : 1.0, 'node-1': 1.0}"
+    assert compiled(urgent)(values(11.0, 0.0))["node-0"] == 2.0
+    night = "{'node-0': hour < 6.0 ? 1.0 : 4.0}"
+    assert compiled(night)(values(0.0, 0.0)) == {"node-0": 4.0}
+
+
+def test_a_policy_keeps_to_its_interval_its_hysteresis_and_the_last_good_shares() -> None:
+    policy = Policy(SharesSettings(True, WEIGH, 30.0))
+    table = ShareTable(1, {"node-0": Share(1.0, 8.0), "node-1": Share(1.0)})
+    assert policy.wished(0.0, table, lambda: values(0.1, 0.0)) is None  # too small a difference
+    assert policy.wished(10.0, table, lambda: values(9.0, 0.0)) is None  # too soon
+    wished = policy.wished(31.0, table, lambda: values(9.0, 0.0))
+    assert wished == {"node-0": Share(10.0, 8.0), "node-1": Share(1.0)}
+    lacking = PolicyInput({}, {}, 0.0)
+    assert policy.wished(62.0, table, lambda: lacking) is None  # fails, and ends
+    assert policy.wished(93.0, table, lambda: values(9.0, 0.0)) is None
+    slow = Policy(SharesSettings(True, WEIGH, 30.0), clock=iter([0.0, 1.0]).__next__)
+    assert slow.wished(0.0, table, lambda: values(9.0, 0.0)) is None
+
+
+def test_the_leader_alone_follows_the_policy(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level("INFO")
+    policy = "{'node-0': 1.0, 'node-1': load['node-1'] > 5.0 ? 3.0 : 1.0}"
+    world = shared(
+        {"node-0": 1.0, "node-1": 1.0},
+        machines=8,
+        shares={"enabled": True, "policy": policy, "policy_every_s": 5.0},
+    )
+    table = {"node-0": Share(1.0), "node-1": Share(1.0, teams=["crew"])}
+    assert ask(world, "node-0", "POST", SetShares(table, "teams"))[0] == 200
+    world.until(lambda: placed(world, {"node-0": 4, "node-1": 4}), 30.0)
+    job = submit(world, 1, pieces=120, expect_s=4.0)
+    world.until(lambda: placed(world, {"node-0": 2, "node-1": 6}), 40.0)
+    assert "share policy sets" in caplog.text
+    world.until(lambda: world.stage(job) == "done", 120.0)
+    check_history(world)
+
+
+# -- the command -------------------------------------------------------------------------------
+
+
+def test_the_commands_words_make_the_whole_table() -> None:
+    table = parse_table(["a=2", "b=1:8:64"], ["x=a", "y=a"])
+    assert table == {"a": Share(2.0, teams=["x", "y"]), "b": Share(1.0, 8.0, 64.0)}
+    for shares, teams in ((["a"], []), (["a=x"], []), (["a=1", "a=2"], []), (["a=1"], ["x=b"])):
+        with pytest.raises(UsageError):
+            parse_table(shares, teams)
+
+
+@pytest.mark.parametrize(
+    ("words", "code"),
+    [
+        (["shares", "set", "--controller", "127.0.0.1:1", "a"], 2),
+        (["shares", "show", "--controller", "nowhere"], 2),
+        (["shares", "show", "--controller", "127.0.0.1:1"], 4),
+    ],
+)
+def test_wrong_words_and_no_controller_have_exit_codes_of_their_own(
+    words: list[str], code: int, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert main(words) == code
+    assert "fallpulley: " in capsys.readouterr().err
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -491,7 +491,8 @@
     program = (
         "import sys, fallpulley.serve; from fallpulley.controller import Controller; "
         "from tests.world import settings; Controller(settings('node-0'), 'boot', lambda: 0.0); "
-        "sys.exit(any('standby' in m or 'zstandard' in m for m in sys.modules))"
+        "names = ('standby', 'zstandard', 'fallpulley.shares', 'celpy'); "
+        "sys.exit(any(name in m for m in sys.modules for name in names))"
     )
     done = subprocess.run([sys.executable, "-c", program], check=False, cwd=ROOT)
     assert done.returncode == 0
--- a/tests/world.py
+++ b/tests/world.py
@@ -297,6 +297,8 @@
         runs = [order["piece"] for order in reply["orders"] if order["verb"] == "run"]
         if runs and not self.world.confirmed(self.reported, reply["baton"]):
             self.world.broken.append(f"{self.world.now:.2f} {runs} on {self.host} unconfirmed")
+        if runs:
+            self.world.ran.append((self.world.state.ledger, self.host, reply["baton"]))
         self.execute(reply["orders"])
 
     def direct(self, body: dict[str, Any]) -> tuple[int, Any]:
@@ -320,6 +322,7 @@
                 piece.update({"try": order["try"], "stage": "ended", "cause": "in_use"})
             elif order["verb"] == "stop" and piece is not None and same:
                 if piece["stage"] != "ended":
+                    self.world.stopped.append(name)
                     piece.update({"stage": "ended", "cause": "stopped"})
                     self.next_at = min(self.next_at, now)
             elif order["verb"] == "clear" and same and self.pieces[name]["stage"] == "ended":
@@ -369,6 +372,9 @@
         self.paused: set[str] = set()  # controllers that do nothing for now; what comes waits
         # What becomes of a message from one controller to another: copies, each after so long.
         self.link: Callable[[str, str, bytes], list[float]] = lambda one, other, body: [0.0]
+        # Every answer with a `run`: the state service's revision then, the machine, the token.
+        self.ran: list[tuple[int, str, int]] = []
+        self.stopped: list[str] = []  # tasks that a stop has ended
         # Stamps at which the only block changed hands: a reply's tenure is the last one before it.
         self.tenures: list[int] = [0]
         self._held_by: tuple[str, str] | None = None
