--- a/fallpulley/blocks/held.py
+++ b/fallpulley/blocks/held.py
@@ -32,7 +32,7 @@
 # sockets and time for everybody else.
 FENCES_MOST = 48
 # A worker counts a higher token as a change once in half a lease.
-POKE_LEASES = 0.5
+PROMPT_LEASES = 0.5
 # A service runs until it is cancelled; it is booked for so many worker leases at a time.
 SERVICE_LEASES = 60.0
 
@@ -102,7 +102,7 @@
                 cards += job.need[1] * len(job.runs)
         return cpus, cards
 
-    def strangers(self) -> bool:
+    def has_unaccounted_tasks(self) -> bool:
         """A machine has tasks that no open job of ours accounts for: of a job that has ended,
         most likely, whose record no longer says what they take, or for whom."""
         return any(
@@ -227,7 +227,7 @@
         if not machine.settled:
             # Perhaps a late copy from before we had it: this renews nothing and proves nothing.
             machine.shift, machine.tick = report.shift, report.tick
-            machine.knocked_at = now
+            machine.unfenced_at = now
             self.marks_due = True
             return True
         outcome = absorb(machine, report, now, checkin)
@@ -290,8 +290,8 @@
             if job is not None:
                 machine.fetching.pop(job.spec.kit, None)
             log.debug("task began task=%s machine=%s", run.piece, run.host)
-        for piece in outcome.strangers:
-            self._stranger(machine, piece)
+        for piece in outcome.has_unaccounted_tasks:
+            self._on_unaccounted(machine, piece)
         if outcome.vanished or outcome.ended:
             self.dirty = True
         if machine.empty:
@@ -335,7 +335,7 @@
         job.observed_s += took
         self.corrections.learn(job.spec.jobclass, job.spec.expect_s, took)
 
-    def _stranger(self, machine: Machine, piece: PieceState) -> None:
+    def _on_unaccounted(self, machine: Machine, piece: PieceState) -> None:
         """A task on the machine that we did not start in this life: keep it or stop it."""
         named = split_piece(piece.piece)
         job = self.jobs.get(named[0]) if named else None
@@ -437,14 +437,14 @@
         if machine.entry.addr:
             self.direct(machine, orders)
 
-    def poke(self, machine: Machine) -> None:
+    def prompt_report(self, machine: Machine) -> None:
         """Make a machine with a booked task report now: a higher token counts as a change, but
         only once in half a lease."""
         now = self.core.now
-        if now < machine.poked_at + POKE_LEASES * self.core.lease_s or not machine.entry.addr:
+        if now < machine.prompted_at + PROMPT_LEASES * self.core.lease_s or not machine.entry.addr:
             return
         if machine.raise_token(self.token):
-            machine.poked_at = now
+            machine.prompted_at = now
             self.direct(machine, [])
 
     def direct(self, machine: Machine, orders: list[Order], fence: bool = False) -> None:
@@ -489,7 +489,7 @@
                 and not machine.fence_busy
                 and now >= machine.fence_at
                 # It was told our token with the answer to its own report: its next one shows it.
-                and now >= machine.knocked_at + self.core.report_s
+                and now >= machine.unfenced_at + self.core.report_s
                 and self.fencing < FENCES_MOST
             ):
                 machine.fence_busy = True
--- a/fallpulley/blocks/leadership.py
+++ b/fallpulley/blocks/leadership.py
@@ -9,10 +9,10 @@
 
 from fallpulley.blocks.messages import NEWER_FORMAT, BlockRecord, FormatMark, Session
 from fallpulley.blocks.registry import BLOCKS, FORMAT, LEADER, SESSIONS, Registry
-from fallpulley.blocks.session import SessionKeeper
+from fallpulley.blocks.session import SessionLease
 from fallpulley.blocks.shares import FULL_RECORDS, blocks_wanted, machines_per_block
 from fallpulley.core import Core
-from fallpulley.state.lane import Change, Order, Write
+from fallpulley.state.client import Change, Priority, Write
 from fallpulley.state.view import View
 
 log = logging.getLogger(__name__)
@@ -26,7 +26,7 @@
     session key as it was seen (gone, or replaced by a newer process), the block's stamp and
     our own session. Whoever comes second finds a stamp changed."""
 
-    def __init__(self, core: Core, view: View, registry: Registry, session: SessionKeeper) -> None:
+    def __init__(self, core: Core, view: View, registry: Registry, session: SessionLease) -> None:
         self.core = core
         self.view = view
         self.registry = registry
@@ -95,12 +95,12 @@
         if not self._guard(FORMAT):
             return
         log.info("records newer format is marked seen=%s", known)
-        self.core.lane.write(
+        self.core.state.write(
             Write(
                 {FORMAT: self.view.stamp(FORMAT)},
                 [Change(FORMAT, msgspec.json.encode(FormatMark(NEWER_FORMAT)))],
                 lambda status, ledger: self._done(FORMAT, f"format {status}"),
-                Order.ACCEPT,
+                Priority.ACCEPT,
                 alone=True,
                 expires_at=self.core.now + 0.9,
             )
@@ -159,7 +159,7 @@
         if not self._guard(LEADER):
             return
         value = msgspec.json.encode(Session(self.core.label, self.core.boot, self.session.format))
-        self.core.lane.write(
+        self.core.state.write(
             Write(
                 {
                     LEADER: self.view.stamp(LEADER),
@@ -167,7 +167,7 @@
                 },
                 [Change(LEADER, value, self.session.tenure)],
                 lambda status, ledger: self._done(LEADER, f"lead {status}"),
-                Order.RENEWAL,
+                Priority.RENEWAL,
                 alone=True,
                 expires_at=self.core.now + 0.9,
             )
@@ -201,12 +201,12 @@
         return record.encode(self.core.newer_format, self.core.value_bytes)
 
     def _write(self, key: str, conditions: dict[str, int], value: bytes) -> None:
-        self.core.lane.write(
+        self.core.state.write(
             Write(
                 conditions,
                 [Change(key, value)],
                 lambda status, ledger: self._done(key, f"take {status}"),
-                Order.RENEWAL,
+                Priority.RENEWAL,
                 alone=True,
                 expires_at=self.core.now + 0.9,
             )
--- a/fallpulley/blocks/session.py
+++ b/fallpulley/blocks/session.py
@@ -8,7 +8,7 @@
 
 from fallpulley.blocks.messages import NEWER_FORMAT, Grant, Session
 from fallpulley.core import Core
-from fallpulley.state.lane import Change, Order, Write
+from fallpulley.state.client import Change, Priority, Write
 from fallpulley.state.view import View
 
 log = logging.getLogger(__name__)
@@ -17,7 +17,7 @@
 RENEWALS = 4
 
 
-class SessionKeeper:
+class SessionLease:
     def __init__(self, core: Core, view: View) -> None:
         self.core = core
         self.view = view
@@ -65,7 +65,7 @@
                 self.renewed_at = sent_at
 
         body = msgspec.json.encode({"life_ms": life_ms})
-        self.core.lane.read("/leases", done, Order.RENEWAL, "POST", body, 1.0)
+        self.core.state.read("/leases", done, Priority.RENEWAL, "POST", body, 1.0)
 
     def _renew(self, tenure: int) -> None:
         self._busy = True
@@ -82,7 +82,7 @@
 
         timeout_s = max(0.3, self.core.session_s / RENEWALS)
         path = f"/leases/{tenure}/extend"
-        self.core.lane.read(path, done, Order.RENEWAL, "POST", b"", timeout_s)
+        self.core.state.read(path, done, Priority.RENEWAL, "POST", b"", timeout_s)
 
     def drop(self) -> None:
         self.tenure = None
@@ -104,12 +104,12 @@
 
         # An older process of this label has ended, or there would be no new one: its
         # session key may be replaced at once.
-        self.core.lane.write(
+        self.core.state.write(
             Write(
                 {self.key: self.view.stamp(self.key)},
                 [Change(self.key, self.value, tenure)],
                 written,
-                Order.RENEWAL,
+                Priority.RENEWAL,
                 alone=True,
                 expires_at=self.core.now + 2.0,
             )
--- a/fallpulley/blocks/writer.py
+++ b/fallpulley/blocks/writer.py
@@ -10,7 +10,7 @@
 from fallpulley.blocks.registry import BLOCKS, RETIRED, Registry
 from fallpulley.blocks.shares import ENTRY_BYTES, ENTRY_BYTES_NEWER
 from fallpulley.core import Core
-from fallpulley.state.lane import TXN_BYTES, Change, Order, Write
+from fallpulley.state.client import TXN_BYTES, Change, Priority, Write
 from fallpulley.state.view import View
 
 log = logging.getLogger(__name__)
@@ -42,7 +42,7 @@
         self._unsure: set[str] = set()  # blocks with a write that may still be applied
         self._seen_from: dict[str, int] = {}  # block -> stamp of our last write
         self.alone: set[str] = set()  # blocks of ours whose former holders answer nobody any more
-        self.touching: set[str] = set()  # blocks that want a newer stamp, changed or not
+        self.touching: set[str] = set()  # blocks that request a newer stamp, changed or not
         self.addresses: dict[str, str] = {}  # learned from lists and reports
         self._busy: dict[str, float] = {}  # block -> until when its last write is awaited
 
@@ -188,7 +188,7 @@
             # hundreds of machines is read by every controller at each change.
             self._busy[label] = self.core.now + WRITE_REPORTS * self.core.report_s
 
-        self.core.lane.write(Write(conditions, changes, written, Order.ACCEPT))
+        self.core.state.write(Write(conditions, changes, written, Priority.ACCEPT))
 
     def _encode(self, record: BlockRecord) -> bytes:
         return record.encode(self.core.newer_format, self.core.value_bytes)
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -15,18 +15,18 @@
 from fallpulley.blocks.leadership import Leadership
 from fallpulley.blocks.messages import NEWER_FORMAT, Former
 from fallpulley.blocks.registry import BLOCKS, FORMAT, SESSIONS, Registry
-from fallpulley.blocks.session import SessionKeeper
+from fallpulley.blocks.session import SessionLease
 from fallpulley.blocks.shares import target_sizes
 from fallpulley.blocks.writer import BlockWriter
 from fallpulley.core import Core
 from fallpulley.effects import Command, Effect, PeerMessage, Request, Result
-from fallpulley.fleet.desk import FleetDesk
-from fallpulley.fleet.keeper import FleetKeeper
-from fallpulley.jobs.desk import JOBS, JobDesk, Known
-from fallpulley.jobs.keeper import JobKeeper
+from fallpulley.fleet.autoscaler import Autoscaler
+from fallpulley.fleet.provider import MachineProvider
 from fallpulley.jobs.messages import OPEN, WITHDRAWN
-from fallpulley.mesh.messages import CalledOff, Want
-from fallpulley.mesh.peers import BEAT_S, Peers
+from fallpulley.jobs.persistence import JobPersistence
+from fallpulley.jobs.service import JOBS, JobService, Known
+from fallpulley.mesh.messages import CalledOff, MachineRequest
+from fallpulley.mesh.peers import HEARTBEAT_S, Peers
 from fallpulley.placement.queue import plan_block
 from fallpulley.settings import Settings
 from fallpulley.state.view import View
@@ -48,23 +48,23 @@
 # else every so many report intervals: at every tick it took a tenth of a holder's time.
 MARK_REPORTS = 0.5
 # A machine of a block just taken over is answered so often before it must have shown our token.
-KNOCKS_MOST = 3
+UNFENCED_ANSWERS_MOST = 3
 # A machine with room waits so long for the next plan to answer its report: without, room that a
 # task has just left stood idle until the next report.
 DEFER_REPORTS = 0.25
 # Plans lie at least so many report intervals apart: what comes between is planned together.
 PLAN_REPORTS = 1.0 / 20.0
-# A machine whose next report is due within this share of an interval need not be poked.
-POKE_REPORTS = 0.25
+# A machine whose next report is due within this share of an interval need not be prompted.
+PROMPT_REPORTS = 0.25
 # Estimates run out while nothing happens: plan again at least every so many reports.
 REPLAN_REPORTS = 1.0
 # A check-in of a machine being granted waits for the record, not longer than this.
 PARK_S = 1.0
 
 # A controller that could read nothing for so long after its start calls that an outage.
-NEVER_READ_BEATS = 4.0
-# Without state service and peers for so many beats, a controller calls itself cut off.
-ALONE_BEATS = 5.0
+NEVER_READ_HEARTBEATS = 4.0
+# Without state service and peers for so many heartbeats, a controller calls itself cut off.
+ALONE_HEARTBEATS = 5.0
 # A holder that hears none of its machines for this share of their lease gives its block away.
 DEAF_LEASES = 0.4
 
@@ -76,15 +76,15 @@
         nodes = max(1, settings.facts.nodes)
         # Looks at the changes may use half of this controller's share of the requests.
         spacing_s = max(0.05, 2.0 * nodes / settings.facts.state.rps)
-        self.view = View(core.lane, self._on_key, core.session_s / HOLDS_PER_SESSION, spacing_s)
+        self.view = View(core.state, self._on_key, core.session_s / HOLDS_PER_SESSION, spacing_s)
         self.registry = Registry()
-        self.desk = JobDesk(core, self.view, self.registry)
-        self.session = SessionKeeper(core, self.view)
+        self.jobs = JobService(core, self.view, self.registry)
+        self.session = SessionLease(core, self.view)
         self.leadership = Leadership(core, self.view, self.registry, self.session)
         self.writer = BlockWriter(core, self.view, self.registry)
-        self.keeper = FleetKeeper(core, self.view, self.registry, self.writer)
-        self.fleet = FleetDesk(core, self.registry, self.writer, self.keeper)
-        self.job_keeper = JobKeeper(core)
+        self.provider = MachineProvider(core, self.view, self.registry, self.writer)
+        self.autoscaler = Autoscaler(core, self.registry, self.writer, self.provider)
+        self.job_persistence = JobPersistence(core)
         self.peers = Peers(core)
         self.held: dict[str, HeldBlock] = {}
         self._formers: dict[str, list[Former]] = {}  # block -> holders before us
@@ -94,7 +94,7 @@
         self._called_off: set[str] = set()
         self._started_at = 0.0
         self._parked: list[tuple[Any, Report, float]] = []
-        self._wants: dict[str, list[Want]] = {}  # by block
+        self._machine_requests: dict[str, list[MachineRequest]] = {}  # by block
         self._plan_ready_at = float("-inf")
         self._replan_at = float("-inf")
         self._next_tick = float("-inf")
@@ -121,7 +121,7 @@
             except Exception:
                 # The next batch tries again; an end of the process would cost a takeover.
                 log.exception("step failed %s", part.__name__)
-        core.lane.pump(now)
+        core.state.pump(now)
         effects, core.effects[:] = list(core.effects), []
         return effects
 
@@ -151,13 +151,13 @@
             if method != "POST":
                 answer(ticket, 405)
             else:
-                self.desk.submit(ticket, request.body)
+                self.jobs.submit(ticket, request.body)
         elif path.startswith("/work/"):
             job, _, verb = path[len("/work/") :].partition("/")
             if verb == "" and method == "GET":
-                self.desk.query(ticket, job)
+                self.jobs.query(ticket, job)
             elif verb == "abort" and method == "POST":
-                self.desk.abort(ticket, job)
+                self.jobs.abort(ticket, job)
             elif verb in ("", "abort"):
                 answer(ticket, 405)
             else:
@@ -176,13 +176,17 @@
         """
         core = self.core
         last = max(self.view.fresh_at, self._started_at)
-        if core.settings.seeds and core.now - last > ALONE_BEATS * BEAT_S and self.peers.none():
+        if (
+            core.settings.seeds
+            and core.now - last > ALONE_HEARTBEATS * HEARTBEAT_S
+            and self.peers.none()
+        ):
             return False
         if self.view.ready:
             return not self.peers.left_behind(self.view.fresh_at)
         # Nothing read yet: healthy only if nobody else can read either.
-        waited = core.now - self._started_at > NEVER_READ_BEATS * BEAT_S
-        return waited and not self.peers.left_behind(self._started_at - BEAT_S)
+        waited = core.now - self._started_at > NEVER_READ_HEARTBEATS * HEARTBEAT_S
+        return waited and not self.peers.left_behind(self._started_at - HEARTBEAT_S)
 
     def serving(self) -> bool:
         """Within the answer window: nobody can have proved our machines empty yet."""
@@ -190,29 +194,31 @@
         return self.core.now < last + self.core.window_s
 
     def _peer(self, body: bytes) -> None:
-        beat = self.peers.take(body)
-        if isinstance(beat, CalledOff):
-            self._call_off(beat.jobs)
+        heartbeat = self.peers.take(body)
+        if isinstance(heartbeat, CalledOff):
+            self._call_off(heartbeat.jobs)
             return
-        if beat is None:
+        if heartbeat is None:
             return
-        for job, done, running in beat.counts:
-            if job in self.desk.known and self.desk.known[job].stage == OPEN:
-                self.desk.counts[job] = (done, running)
+        for job, done, running in heartbeat.counts:
+            if job in self.jobs.known and self.jobs.known[job].stage == OPEN:
+                self.jobs.counts[job] = (done, running)
         leader = self.registry.leader
-        if leader is not None and beat.boot == leader[0].boot:
-            self.keeper.targets = beat.targets
+        if leader is not None and heartbeat.boot == leader[0].boot:
+            self.provider.targets = heartbeat.targets
         if self.leadership.term is not None:
-            for want in beat.wants:
-                if want.block in self.registry.blocks and want.number > 0:
-                    self.keeper.hire(want.block, want.build, want.zone, want.spot, want.number)
+            for request in heartbeat.machine_requests:
+                if request.block in self.registry.blocks and request.number > 0:
+                    self.provider.rent(
+                        request.block, request.build, request.zone, request.spot, request.number
+                    )
 
     def _tell_called_off(self) -> None:
         """What has just been cancelled here goes to its block's holder, by record or by word."""
-        jobs, self.desk.called_off = self.desk.called_off, []
+        jobs, self.jobs.called_off = self.jobs.called_off, []
         by_holder: dict[str, list[str]] = {}
         for job in jobs:
-            known = self.desk.known.get(job)
+            known = self.jobs.known.get(job)
             holder = self.registry.holder_of(known.block) if known is not None else None
             if holder == self.core.label:
                 self._call_off([job])
@@ -232,7 +238,7 @@
 
     def _add_job(self, held: HeldBlock, job: str, known: Known) -> None:
         if known.record is not None and job not in self._called_off:
-            held.add_job(job, known.record, known.stamp, self.desk.pipelines.node(job))
+            held.add_job(job, known.record, known.stamp, self.jobs.pipelines.node(job))
 
     # -- shared records --------------------------------------------------------------------
 
@@ -253,15 +259,15 @@
             self.core.begin_newer_format()
 
     def _on_job(self, job: str, value: bytes | None, stamp: int) -> None:
-        if self.desk.on_record(job, value, stamp) is None:
+        if self.jobs.on_record(job, value, stamp) is None:
             return
-        touched, self.desk.touched = self.desk.touched, set()
+        touched, self.jobs.touched = self.jobs.touched, set()
         for name in {job} | touched:
             self._settle_job(name)
 
     def _settle_job(self, job: str) -> None:
         """Bring what its block's holder has of a job up to its record, and to others' records."""
-        known = self.desk.known[job]
+        known = self.jobs.known[job]
         held = self.held.get(known.block)
         if held is None:
             return
@@ -273,7 +279,7 @@
         elif open_job is None:
             self._add_job(held, job, known)
         else:
-            open_job.node = self.desk.pipelines.node(job)
+            open_job.node = self.jobs.pipelines.node(job)
             held.dirty = True
 
     def _on_block(self, label: str, previous: tuple[str, str] | None) -> None:
@@ -301,8 +307,8 @@
             len(record.machines),
             previous,
         )
-        for job in self.desk.open_by_block.get(label, ()):
-            self._add_job(held, job, self.desk.known[job])
+        for job in self.jobs.open_by_block.get(label, ()):
+            self._add_job(held, job, self.jobs.known[job])
         self._check_old_holders()
 
     def _check_old_holders(self) -> None:
@@ -368,9 +374,9 @@
             self._redirect(ticket, leader[0].label if leader else None)
             return
         coming = self.writer.coming(report.host)
-        if not coming and report.host in self.keeper.listed:
+        if not coming and report.host in self.provider.listed:
             # Only with the cloud's word: the report may be a late copy of a machine long gone.
-            coming = self.keeper.adopt(
+            coming = self.provider.adopt(
                 report.host, report.addr, report.build, report.hall, report.loaners
             )
         if coming and core.now < park_until:
@@ -403,10 +409,10 @@
                 # It may hold tasks and has not shown that it hears us. An answer may renew its
                 # lease, so it gets a few only: a machine that hears nothing would put off the
                 # proof that it is empty, and every job accepted before, for ever.
-                if machine.knocks >= KNOCKS_MOST:
+                if machine.unfenced_answers >= UNFENCED_ANSWERS_MOST:
                     self.core.answer(ticket, 503, b"", 1.0)
                     continue
-                machine.knocks += 1
+                machine.unfenced_answers += 1
             orders: list[Order] = []
             if machine.settled:
                 # Also when an answer of `/do` has overtaken the report: the reply renews the
@@ -460,7 +466,7 @@
         self.leadership.tick()
         term = self.leadership.term
         if term is not None:
-            self.keeper.tick(term)
+            self.provider.tick(term)
         marks_due = self.core.now >= self._marks_at
         if marks_due:
             self._marks_at = self.core.now + MARK_REPORTS * self.core.report_s
@@ -476,22 +482,24 @@
                 self.writer.alone.add(held.label)
             if held.touch or (self.core.newer_format and held.label in self.registry.older):
                 self.writer.touching.add(held.label)
-            self.job_keeper.tick(held, self.desk.derived.get(held.label, {}))
+            self.job_persistence.tick(held, self.jobs.derived.get(held.label, {}))
             if self.session.live():
                 if held.unproven and term is not None:
-                    self.fleet.prove(held)
-                wants = self.fleet.tick(held, term is not None)
-                if wants:
-                    self._wants[held.label] = wants
+                    self.autoscaler.prove(held)
+                machine_requests = self.autoscaler.tick(held, term is not None)
+                if machine_requests:
+                    self._machine_requests[held.label] = machine_requests
         self.writer.tick()
         if self.peers.due():
             counts = self._counts()
             if term is not None:
-                self.keeper.targets = self._target_sizes()
+                self.provider.targets = self._target_sizes()
             self._hand_over()
-            wants = [want for block in self._wants.values() for want in block]
-            self.peers.tick(self.fresh_s(), counts, wants, self.keeper.targets)
-            self._wants = {}
+            machine_requests = [
+                request for block in self._machine_requests.values() for request in block
+            ]
+            self.peers.tick(self.fresh_s(), counts, machine_requests, self.provider.targets)
+            self._machine_requests = {}
 
     def _give_if_deaf(self, held: HeldBlock) -> None:
         """No machine reaches us any more, but the state service and a peer do: the peer may be
@@ -514,13 +522,13 @@
         blocks = self.registry.blocks
         if len(blocks) < 2:
             return {}
-        work = {label: self.desk.load(label) for label in blocks}
+        work = {label: self.jobs.load(label) for label in blocks}
         machines = sum(len(record.machines) for record, _ in blocks.values())
         return target_sizes(work, machines, self.leadership.per_block)
 
     def _hand_over(self) -> None:
         """Give an idle machine to the block furthest below its target, while ours is above."""
-        targets = self.keeper.targets
+        targets = self.provider.targets
         if not targets or not self.session.live():
             return
         sizes = {label: len(entry[0].machines) for label, entry in self.registry.blocks.items()}
@@ -547,7 +555,7 @@
             if entry is None:
                 continue
             wished = self.writer.marks.get(held.label, {}).get(host, entry.used)
-            knocks = self.core.now < machine.knocked_at + self.core.lease_s
+            knocks = self.core.now < machine.unfenced_at + self.core.lease_s
             may_hold = machine.up or bool(machine.runs) or host in held.unproven or knocks
             if (machine.usable or knocks) and not wished:
                 self.writer.mark(held.label, host, True)
@@ -563,13 +571,13 @@
         # A mark on its way counts once the writer has seen it in the record: look again then.
         held.marks_due = bool(self.writer.marks.get(held.label))
 
-    def _poke(self, held: HeldBlock) -> None:
+    def _prompt_reports(self, held: HeldBlock) -> None:
         """Machines with new bookings are asked to report now instead of when it is their turn."""
-        soon = self.core.now + POKE_REPORTS * self.core.report_s
+        soon = self.core.now + PROMPT_REPORTS * self.core.report_s
         for host in held.booked:
             machine = held.machines.get(host)
             if machine is not None and machine.heard_at + self.core.report_s > soon:
-                held.poke(machine)
+                held.prompt_report(machine)
 
     def _counts(self) -> list[tuple[str, int, int]]:
         counts = []
@@ -577,7 +585,7 @@
             for job in held.jobs.values():
                 if not job.withdrawn:
                     entry = (job.done, len(job.runs))
-                    self.desk.counts[job.job] = entry
+                    self.jobs.counts[job.job] = entry
                     counts.append((job.job, *entry))
         return counts
 
@@ -593,11 +601,11 @@
                 continue
             planned = True
             held.dirty = False
-            decision = plan_block(held, self.core, self.registry, self.desk.teams)
+            decision = plan_block(held, self.core, self.registry, self.jobs.teams)
             held.booked = decision.starts
             for stop in decision.stops:
                 held.preempt(stop.host, stop.pieces)
-            self._poke(held)
+            self._prompt_reports(held)
         if planned:
             took = self.core.clock() - began
             report_s = self.core.report_s
--- a/fallpulley/core.py
+++ b/fallpulley/core.py
@@ -7,7 +7,7 @@
 
 from fallpulley.effects import Answer, Call, Done, Effect
 from fallpulley.settings import Settings
-from fallpulley.state.lane import Lane
+from fallpulley.state.client import StateClient
 
 log = logging.getLogger(__name__)
 
@@ -31,7 +31,7 @@
         # Every controller knows the newer record format: the marker in the state service says so.
         self.newer_format = False
         self.lesser = facts.state.lesser()
-        self.lane = Lane(
+        self.state = StateClient(
             settings.endpoints.state,
             facts.state.rps / nodes,
             facts.state.write_rps / nodes,
@@ -40,8 +40,8 @@
             self.effects.append,
         )
         if self.lesser.value_kb < facts.state.value_kb:
-            self.lane.small_bytes = self.lesser.value_kb * 1024
-            self.lane.on_limits = self._limits_seen
+            self.state.small_bytes = self.lesser.value_kb * 1024
+            self.state.on_limits = self._limits_seen
         workers = facts.workers
         self.report_s = workers.report_s
         self.lease_s = workers.lease_s
@@ -78,7 +78,7 @@
         self.newer_format = True
         log.info("records newer format begins")
         nodes = max(self.settings.facts.nodes, 1)
-        self.lane.expect_limits(self.lesser.rps / nodes, self.lesser.write_rps / nodes)
+        self.state.expect_limits(self.lesser.rps / nodes, self.lesser.write_rps / nodes)
 
     def answer(
         self, ticket: object, status: int, body: bytes = b"", retry_after: float | None = None
--- a/fallpulley/fleet/desk.py
+++ b/fallpulley/fleet/autoscaler.py
@@ -8,10 +8,10 @@
 from fallpulley.blocks.registry import Registry
 from fallpulley.blocks.writer import BlockWriter
 from fallpulley.core import Core
-from fallpulley.fleet.keeper import FleetKeeper
 from fallpulley.fleet.messages import MachineType
+from fallpulley.fleet.provider import MachineProvider
 from fallpulley.fleet.sizing import Group, Sizing, Supply, size_fleet
-from fallpulley.mesh.messages import Want
+from fallpulley.mesh.messages import MachineRequest
 from fallpulley.placement.queue import groups_of
 from fallpulley.workers.machine import Machine
 
@@ -47,37 +47,37 @@
 GroupKey = tuple[str, bool, tuple[str, ...] | None, str | None, bool]
 
 
-class FleetDesk:
+class Autoscaler:
     def __init__(
-        self, core: Core, registry: Registry, writer: BlockWriter, keeper: FleetKeeper
+        self, core: Core, registry: Registry, writer: BlockWriter, provider: MachineProvider
     ) -> None:
         self.core = core
         self.registry = registry
         self.writer = writer
-        self.keeper = keeper
+        self.provider = provider
         self._last: dict[str, float] = {}
         self._wait_s: dict[str, float] = {}  # from the last look to the next
         self._levels: dict[GroupKey, float] = {}
 
-    def tick(self, held: HeldBlock, leading: bool) -> list[Want]:
+    def tick(self, held: HeldBlock, leading: bool) -> list[MachineRequest]:
         """Give up what should go, rent as the leader, or say what the leader should rent."""
         now = self.core.now
         if not self.registry.types:
             return []
-        # A partly filled hire is followed at once by one of the next kind.
+        # A partly filled rental is followed at once by one of the next kind.
         last = self._last.get(held.label, float("-inf"))
         wait_s = self._wait_s.get(held.label, SIZING_S)
-        if now < last + wait_s and self.keeper.answered_at <= last:
+        if now < last + wait_s and self.provider.answered_at <= last:
             return []
         self._last[held.label] = now
         began = self.core.clock()
-        wants = self._look(held, leading, min(now - last, wait_s))
+        machine_requests = self._look(held, leading, min(now - last, wait_s))
         boot_s = min(kind.startup_s for kind in self.registry.types.values())
         took_s = min((self.core.clock() - began) / SIZING_SHARE, SIZING_BOOTS * boot_s)
         self._wait_s[held.label] = max(SIZING_S, took_s)
-        return wants
+        return machine_requests
 
-    def _look(self, held: HeldBlock, leading: bool, since_s: float) -> list[Want]:
+    def _look(self, held: HeldBlock, leading: bool, since_s: float) -> list[MachineRequest]:
         now = self.core.now
         self._look_over(held)
         if not held.loaded or (held.taken_over and now < held.taken_at + self._known_s(held)):
@@ -87,9 +87,9 @@
             self._give_up(held, held.machines[host], "idle")
         if leading:
             for rent in sizing.rents:
-                self.keeper.hire(held.label, rent.build, rent.zone, rent.spot, rent.number)
+                self.provider.rent(held.label, rent.build, rent.zone, rent.spot, rent.number)
             return []
-        return [Want(held.label, r.build, r.zone, r.spot, r.number) for r in sizing.rents]
+        return [MachineRequest(held.label, r.build, r.zone, r.spot, r.number) for r in sizing.rents]
 
     def _known_s(self, held: HeldBlock) -> float:
         """How long after a takeover the block's work is not known: what runs, and what is done
@@ -101,7 +101,7 @@
 
     def _size(self, held: HeldBlock, since_s: float) -> Sizing:
         now = self.core.now
-        types = self.keeper.types or self.registry.types
+        types = self.provider.types or self.registry.types
         supply = []
         for machine in held.machines.values():
             if machine.leaving or machine.gone or machine.recall_at is not None:
@@ -127,13 +127,20 @@
                     idle,
                 )
             )
-        coming = self.keeper.pending_for(held.label)
-        for hire in coming:
-            kind = types.get(hire.build)
+        coming = self.provider.pending_for(held.label)
+        for rental in coming:
+            kind = types.get(rental.build)
             if kind is not None:
                 supply += [
-                    Supply(f"{hire.hire}/{n}", hire.build, hire.hall, hire.loaners, kind.cpus, None)
-                    for n in range(hire.number)
+                    Supply(
+                        f"{rental.hire}/{n}",
+                        rental.build,
+                        rental.hall,
+                        rental.loaners,
+                        kind.cpus,
+                        None,
+                    )
+                    for n in range(rental.number)
                 ]
         # Granted, but not in the record yet.
         for host, entry in self.writer.adding.get(held.label, {}).items():
@@ -149,7 +156,7 @@
             groups,
             supply,
             types,
-            self.keeper.refused(),
+            self.provider.refused(),
             operators.drain_boots,
             operators.idle_boots,
             most - len(supply),
@@ -187,7 +194,7 @@
                 continue
             kind = self.registry.types.get(machine.entry.build)
             startup = kind.startup_s if kind else 60.0
-            listed = self.keeper.listed.get(machine.host)
+            listed = self.provider.listed.get(machine.host)
             if listed is not None and listed.stage == "failed":
                 machine.gone = True
             if machine.host in held.unproven:
@@ -197,7 +204,7 @@
                 self._give_up(held, machine, "deaf")
             elif not machine.up and not machine.runs:
                 since = max(machine.heard_at, machine.got_at)
-                if machine.host in self.keeper.released:
+                if machine.host in self.provider.released:
                     self._give_up(held, machine, "released")
                 elif machine.gone:
                     self._give_up(held, machine, "failed")
@@ -228,15 +235,15 @@
             machine = held.machines[host]
             missing, all_there = zones[machine.entry.zone]
             tried = machine.fence_fails >= 2 or not machine.entry.addr
-            if host in self.keeper.released:
+            if host in self.provider.released:
                 held.proved_empty(host)
             elif (
-                host not in self.keeper.doomed
+                host not in self.provider.to_release
                 and tried
                 and missing <= max(1.0, UNPROVEN_SHARE * all_there)
             ):
                 log.info("machine released as proof machine=%s block=%s", host, held.label)
-                self.keeper.doomed.add(host)
+                self.provider.to_release.add(host)
 
     def _give_up(self, held: HeldBlock, machine: Machine, why: str) -> None:
         """From here nothing is placed on it, whatever becomes of the write."""
--- a/fallpulley/fleet/messages.py
+++ b/fallpulley/fleet/messages.py
@@ -24,7 +24,7 @@
     builds: list[MachineType]
 
 
-class Hire(msgspec.Struct):
+class RentalRequest(msgspec.Struct):
     hire: str
     build: str
     hall: str
@@ -32,7 +32,7 @@
     number: int
 
 
-class Hired(msgspec.Struct):
+class RentalAnswer(msgspec.Struct):
     hosts: list[str] = []
 
 
--- a/fallpulley/fleet/keeper.py
+++ b/fallpulley/fleet/provider.py
@@ -14,14 +14,14 @@
 from fallpulley.effects import Done
 from fallpulley.fleet.messages import (
     Catalog,
-    Hire,
-    Hired,
     Listed,
     MachineList,
     MachineType,
     Release,
+    RentalAnswer,
+    RentalRequest,
 )
-from fallpulley.state.lane import Bucket, Change, Order, Write
+from fallpulley.state.client import Bucket, Change, Priority, Write
 from fallpulley.state.view import View
 
 log = logging.getLogger(__name__)
@@ -32,14 +32,14 @@
 PRICES_S = 20.0  # prices move slowly; the types do not
 LIST_PAGE = 500
 RELEASE_MOST = 100
-HIRE_MOST = 50
+RENTAL_MOST = 50
 # After a refusal the same kind is asked again after this share of its boot time, doubling up to the
 # other: what a wave of recalls took is often to be had again within a boot time.
 REFUSAL_SHARE = 0.25
 REFUSAL_MOST = 0.4
 
 
-class FleetKeeper:
+class MachineProvider:
     def __init__(self, core: Core, view: View, registry: Registry, writer: BlockWriter) -> None:
         self.core = core
         self.view = view
@@ -52,18 +52,20 @@
         self.listed_at = float("-inf")
         self.released: dict[str, float] = {}
         self.refused_until: dict[tuple[str, str, bool], tuple[float, float]] = {}
-        self.pending: dict[str, tuple[Hire, str]] = {}  # hires without an answer yet
-        self.answered_at = float("-inf")  # when the cloud last answered a hire
+        self.pending: dict[
+            str, tuple[RentalRequest, str]
+        ] = {}  # rental requests without an answer yet
+        self.answered_at = float("-inf")  # when the cloud last answered a rental request
         self._counter = 0
         self._term = 0
         self._began_at = float("-inf")  # when our term began
         self._next_catalog = float("-inf")
         self._next_list = float("-inf")
         self._listing: dict[str, Listed] | None = None
-        self.doomed: set[str] = set()  # to be released, whatever records say
+        self.to_release: set[str] = set()  # to be released, whatever records say
         self._next_release = float("-inf")
         self._dropping: set[str] = set()
-        self._hiring: set[str] = set()
+        self._renting: set[str] = set()
         self._retry_at: dict[str, float] = {}
 
     def tick(self, term: int) -> None:
@@ -84,8 +86,8 @@
             self._list("")
         self._release()
         for name in list(self.pending):
-            if name not in self._hiring and now >= self._retry_at.get(name, 0.0):
-                self._send_hire(name)
+            if name not in self._renting and now >= self._retry_at.get(name, 0.0):
+                self._send_rental(name)
 
     def _call(self, method: str, path: str, body: bytes | None, done: Done) -> bool:
         if self.bucket.tokens < 1:
@@ -105,12 +107,12 @@
             self.types = {kind.label: kind for kind in catalog.builds}
             if _fixed(self.types) != _fixed(self.registry.types):
                 value = msgspec.json.encode(catalog)
-                self.core.lane.write(
+                self.core.state.write(
                     Write(
                         {CATALOG: self.view.stamp(CATALOG)},
                         [Change(CATALOG, value)],
                         lambda status, ledger: None,
-                        Order.PROGRESS,
+                        Priority.PROGRESS,
                     )
                 )
 
@@ -151,7 +153,7 @@
         for host, machine in self.listed.items():
             if host in self.registry.host_block or host in self.registry.retired:
                 continue
-            if self.writer.coming(host) or host in self.doomed:
+            if self.writer.coming(host) or host in self.to_release:
                 continue
             if host in self.released:
                 # Released and listed again after the list's lag: the release got lost.
@@ -192,12 +194,12 @@
 
     def _unrecorded(self, host: str) -> None:
         self.released.pop(host, None)
-        self.doomed.add(host)
+        self.to_release.add(host)
 
     def _release(self) -> None:
         now = self.core.now
         hosts = [h for h, key in self.registry.retired.items() if key not in self._dropping]
-        hosts += [h for h in self.doomed if h not in self.registry.retired]
+        hosts += [h for h in self.to_release if h not in self.registry.retired]
         if not hosts or now < self._next_release:
             return
         hosts = hosts[:RELEASE_MOST]
@@ -209,7 +211,7 @@
             self._next_release = float("-inf")
             for host in hosts:
                 self.released[host] = self.core.now
-                self.doomed.discard(host)
+                self.to_release.discard(host)
             for key in {self.registry.retired.get(host) for host in hosts}:
                 if key is not None and all(h in self.released for h in self.registry.retiring[key]):
                     self._drop_retired(key)
@@ -225,8 +227,8 @@
         def written(status: int | None, ledger: int) -> None:
             self._dropping.discard(key)
 
-        self.core.lane.write(
-            Write({key: self.view.stamp(key)}, [Change(key, None)], written, Order.PROGRESS)
+        self.core.state.write(
+            Write({key: self.view.stamp(key)}, [Change(key, None)], written, Priority.PROGRESS)
         )
 
     # -- renting ---------------------------------------------------------------------------
@@ -235,38 +237,38 @@
         now = self.core.now
         return {kind for kind, (until, _) in self.refused_until.items() if until > now}
 
-    def pending_for(self, block: str) -> list[Hire]:
-        return [hire for hire, label in self.pending.values() if label == block]
+    def pending_for(self, block: str) -> list[RentalRequest]:
+        return [rental for rental, label in self.pending.values() if label == block]
 
-    def hire(self, block: str, build: str, zone: str, spot: bool, number: int) -> None:
+    def rent(self, block: str, build: str, zone: str, spot: bool, number: int) -> None:
         """One request of a kind for a block at a time."""
         if (build, zone, spot) in self.refused():
             return
-        for hire in self.pending_for(block):
-            if (hire.build, hire.hall, hire.loaners) == (build, zone, spot):
+        for rental in self.pending_for(block):
+            if (rental.build, rental.hall, rental.loaners) == (build, zone, spot):
                 return
         self._counter += 1
         # The term is the leader record's stamp, so no other leader, nor we in another term or
         # process, can make this name again.
         name = f"hire-{self._term}-{self._counter}"
-        request = Hire(name, build, zone, spot, min(number, HIRE_MOST))
+        request = RentalRequest(name, build, zone, spot, min(number, RENTAL_MOST))
         self.pending[name] = (request, block)
-        self._send_hire(name)
+        self._send_rental(name)
 
-    def _send_hire(self, name: str) -> None:
+    def _send_rental(self, name: str) -> None:
         request, block = self.pending[name]
 
         def done(status: int | None, body: bytes, sent_at: float) -> None:
-            self._hiring.discard(name)
+            self._renting.discard(name)
             self._retry_at[name] = self.core.now + 1.0
             self.answered_at = self.core.now
             if name not in self.pending:
-                self._late_hire(status, body, request, block)
+                self._late_rental(status, body, request, block)
                 return
             kind = (request.build, request.hall, request.loaners)
             if status == 200:
                 del self.pending[name]
-                hired = _decode(body, Hired) or Hired()
+                hired = _decode(body, RentalAnswer) or RentalAnswer()
                 self._grant(hired.hosts, request, block)
                 if len(hired.hosts) < request.number:
                     self._back_off(kind)
@@ -277,15 +279,17 @@
                 self._back_off(kind)
 
         if self._call("POST", "/rentals", msgspec.json.encode(request), done):
-            self._hiring.add(name)
+            self._renting.add(name)
 
-    def _late_hire(self, status: int | None, body: bytes, request: Hire, block: str) -> None:
+    def _late_rental(
+        self, status: int | None, body: bytes, request: RentalRequest, block: str
+    ) -> None:
         """An answer from before our last change of term: the machines are ours all the same."""
         if status == 200:
-            hired = _decode(body, Hired) or Hired()
+            hired = _decode(body, RentalAnswer) or RentalAnswer()
             self._grant(hired.hosts, request, block)
 
-    def _grant(self, hosts: list[str], request: Hire, block: str) -> None:
+    def _grant(self, hosts: list[str], request: RentalRequest, block: str) -> None:
         log.info(
             "machines rented n=%d of=%d build=%s zone=%s spot=%s block=%s",
             len(hosts),
--- a/fallpulley/jobs/keeper.py
+++ b/fallpulley/jobs/persistence.py
@@ -9,10 +9,10 @@
 
 from fallpulley.blocks.held import HeldBlock
 from fallpulley.core import Core
-from fallpulley.jobs.desk import JOBS, Known
 from fallpulley.jobs.messages import DONE, JOB_ID, WITHDRAWN, JobRecord, Progress
 from fallpulley.jobs.open import OpenJob, chunk_name, chunk_tasks, is_chunk
-from fallpulley.state.lane import Change, Order, Write
+from fallpulley.jobs.service import JOBS, Known
+from fallpulley.state.client import Change, Priority, Write
 
 log = logging.getLogger(__name__)
 
@@ -34,7 +34,7 @@
     has_next: bool = False
 
 
-class JobKeeper:
+class JobPersistence:
     def __init__(self, core: Core) -> None:
         self.core = core
         self.older_chunk = chunk_tasks(core.settings.facts.state.value_kb)
@@ -45,7 +45,7 @@
     def tick(self, held: HeldBlock, derived: dict[str, Known]) -> None:
         """`derived`: jobs of the block that are withdrawn with others; their records follow."""
         for uid, known in derived.items():
-            if self.core.lane.waiting_changes(Order.PROGRESS) >= 4:
+            if self.core.state.waiting_changes(Priority.PROGRESS) >= 4:
                 break
             self._record_withdrawn(uid, known)
         if not held.loaded:
@@ -63,7 +63,7 @@
                 job.unsaved_since is not None
                 and not job.saving
                 and now > job.unsaved_since + age
-                and self.core.lane.waiting_changes(Order.PROGRESS) < 4
+                and self.core.state.waiting_changes(Priority.PROGRESS) < 4
             ):
                 self._save(job)
 
@@ -77,12 +77,12 @@
         def written(status: int | None, ledger: int) -> None:
             self._withdrawing.discard(job)
 
-        self.core.lane.write(
+        self.core.state.write(
             Write(
                 {key: known.stamp},
                 [Change(key, value)],
                 written,
-                Order.PROGRESS,
+                Priority.PROGRESS,
                 expires_at=self.core.now + 5.0,
             )
         )
@@ -113,8 +113,8 @@
                 job.retry_at = self.core.now + 0.3
                 job.ending = False
 
-        self.core.lane.write(
-            Write(conditions, changes, written, Order.ACCEPT, expires_at=self.core.now + 2.0)
+        self.core.state.write(
+            Write(conditions, changes, written, Priority.ACCEPT, expires_at=self.core.now + 2.0)
         )
 
     def _save(self, job: OpenJob) -> None:
@@ -141,12 +141,12 @@
             if status in (409, None):
                 self._reread(job, name)
 
-        self.core.lane.write(
+        self.core.state.write(
             Write(
                 {key: job.ledger.get(name, 0)},
                 [Change(key, value)],
                 written,
-                Order.PROGRESS,
+                Priority.PROGRESS,
                 expires_at=self.core.now + 5.0,
             )
         )
@@ -167,7 +167,7 @@
                     return
                 job.restore(name, self.older_chunk, pair.v.bits, pair.stamp)
 
-        self.core.lane.read(path, done, Order.PROGRESS, expires_at=self.core.now + 5.0)
+        self.core.state.read(path, done, Priority.PROGRESS, expires_at=self.core.now + 5.0)
 
     # -- after a takeover ------------------------------------------------------------------
 
@@ -200,7 +200,7 @@
             held.dirty = True
             log.info("progress loaded block=%s jobs=%d", held.label, len(held.jobs))
 
-        self.core.lane.read(path, done, Order.PROGRESS, timeout_s=5.0)
+        self.core.state.read(path, done, Priority.PROGRESS, timeout_s=5.0)
 
     def _restore(self, held: HeldBlock, pair: _Pair) -> None:
         uid, _, name = pair.k[len(PROGRESS) :].rpartition("/")
--- a/fallpulley/jobs/desk.py
+++ b/fallpulley/jobs/service.py
@@ -28,7 +28,7 @@
 )
 from fallpulley.jobs.pipelines import Pipelines
 from fallpulley.settings import Team
-from fallpulley.state.lane import Change, Order, Write
+from fallpulley.state.client import Change, Priority, Write
 from fallpulley.state.view import View
 
 log = logging.getLogger(__name__)
@@ -52,7 +52,7 @@
     end_ms: int = 0
 
 
-class JobDesk:
+class JobService:
     def __init__(self, core: Core, view: View, registry: Registry) -> None:
         self.core = core
         self.view = view
@@ -357,12 +357,12 @@
             else:
                 self._refuse(ticket, "state service did not answer")
 
-        self.core.lane.write(
+        self.core.state.write(
             Write(
                 conditions,
                 changes,
                 written,
-                Order.ACCEPT,
+                Priority.ACCEPT,
                 expires_at=self.core.now + WRITE_WAIT_S,
             )
         )
@@ -420,12 +420,12 @@
             else:
                 self._refuse(ticket, "not decided, ask again")
 
-        self.core.lane.write(
+        self.core.state.write(
             Write(
                 {key: known.stamp},
                 [Change(key, value)],
                 written,
-                Order.ACCEPT,
+                Priority.ACCEPT,
                 expires_at=self.core.now + WRITE_WAIT_S,
             )
         )
--- a/fallpulley/mesh/messages.py
+++ b/fallpulley/mesh/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 
-class Want(msgspec.Struct, array_like=True):
+class MachineRequest(msgspec.Struct, array_like=True):
     """Machines that a block's holder asks the leader for."""
 
     block: str
@@ -15,7 +15,7 @@
     number: int
 
 
-class Beat(msgspec.Struct, tag="beat", array_like=True):
+class Heartbeat(msgspec.Struct, tag="beat", array_like=True):
     """A sign of life: how fresh the sender's copy is, and its jobs' counts for display."""
 
     label: str
@@ -23,7 +23,7 @@
     sent_at: float  # time of day: a copy may come late
     fresh_s: float
     counts: list[tuple[str, int, int]]
-    wants: list[Want]
+    machine_requests: list[MachineRequest]
     targets: dict[str, int] = {}  # of the leader: block -> machines it should have
 
 
@@ -34,7 +34,7 @@
     jobs: list[str]
 
 
-Message = Beat | CalledOff
+Message = Heartbeat | CalledOff
 
 
 def decode(body: bytes) -> Message | None:
--- a/fallpulley/state/lane.py
+++ b/fallpulley/state/client.py
@@ -1,6 +1,6 @@
 """Requests to the state service, within this controller's share of its budgets.
 
-Order: lease renewals, accepts and cancels, progress, reads. Waiting writes are grouped into
+Priority: lease renewals, accepts and cancels, progress, reads. Waiting writes are grouped into
 transactions; each carries the stamps it was decided on, so late or repeated ones do nothing.
 """
 
@@ -22,16 +22,16 @@
 SHARE_USED = 0.92
 
 
-class Order(IntEnum):
+class Priority(IntEnum):
     RENEWAL = 0
     ACCEPT = 1
     PROGRESS = 2
     READ = 3
 
 
-# Share of the saved-up budget that requests of an order leave to those before them, so that
+# Share of the saved-up budget that requests of a priority leave to those before them, so that
 # a renewal or an accept never waits for a burst of lesser ones to be earned back.
-KEPT_BACK = {Order.PROGRESS: 0.4, Order.READ: 0.2}
+KEPT_BACK = {Priority.PROGRESS: 0.4, Priority.READ: 0.2}
 
 # Outcome of a write: 200, 409 (a stamp differed), 503 (not executed), 400, None (unknown).
 Written = Callable[[int | None, int], None]
@@ -57,7 +57,7 @@
     conditions: dict[str, int]
     changes: list[Change]
     written: Written
-    order: Order = Order.ACCEPT
+    priority: Priority = Priority.ACCEPT
     alone: bool = False
     expires_at: float = float("inf")
 
@@ -104,7 +104,7 @@
     pass
 
 
-class Lane:
+class StateClient:
     def __init__(
         self,
         address: str,
@@ -119,8 +119,8 @@
         self.changes = Bucket(write_rps * SHARE_USED)
         self.emit = emit
         self.in_flight = 0
-        self._writes: dict[Order, deque[Write]] = {order: deque() for order in Order}
-        self._reads: dict[Order, deque[_Read]] = {order: deque() for order in Order}
+        self._writes: dict[Priority, deque[Write]] = {priority: deque() for priority in Priority}
+        self._reads: dict[Priority, deque[_Read]] = {priority: deque() for priority in Priority}
         self.timeout_s = 1.5
         # Values above this size are refused once the limits to come have come, and who is to know.
         self.small_bytes = float("inf")
@@ -144,16 +144,16 @@
         self.changes.tokens = min(self.changes.tokens, 0.0)
 
     def write(self, write: Write) -> None:
-        self._writes[write.order].append(write)
+        self._writes[write.priority].append(write)
 
-    def waiting_changes(self, order: Order) -> int:
-        return sum(len(write.changes) for write in self._writes[order])
+    def waiting_changes(self, priority: Priority) -> int:
+        return sum(len(write.changes) for write in self._writes[priority])
 
     def read(
         self,
         path: str,
         done: Done,
-        order: Order = Order.READ,
+        priority: Priority = Priority.READ,
         method: str = "GET",
         body: bytes | None = None,
         timeout_s: float | None = None,
@@ -161,20 +161,20 @@
     ) -> None:
         """Any request that is not a transaction."""
         entry = _Read(method, path, body, timeout_s or self.timeout_s, done, expires_at)
-        self._reads[order].append(entry)
+        self._reads[priority].append(entry)
 
     def pump(self, now: float) -> None:
-        """Send what the budgets allow, in order."""
+        """Send what the budgets allow, most urgent first."""
         self.requests.refill(now)
         self.changes.refill(now)
-        for order in Order:
-            reads = self._reads[order]
-            writes = self._writes[order]
+        for priority in Priority:
+            reads = self._reads[priority]
+            writes = self._writes[priority]
             while reads and reads[0].expires_at < now:
                 reads.popleft().done(503, b"", now)
             while writes and writes[0].expires_at < now:
                 writes.popleft().written(503, 0)
-            keep = KEPT_BACK.get(order, 0.0)
+            keep = KEPT_BACK.get(priority, 0.0)
             least = max(1.0, keep * self.requests.most)
             while reads and self.requests.tokens >= least:
                 self.requests.tokens -= 1
@@ -247,7 +247,7 @@
             failed = set(reply.failed)
             again = [write for write in group if not failed & set(write.conditions)]
             for write in reversed(again):
-                self._writes[write.order].appendleft(write)
+                self._writes[write.priority].appendleft(write)
             for write in group:
                 if failed & set(write.conditions):
                     write.written(409, 0)
@@ -256,7 +256,7 @@
             # Not carried out: again, in its place, once the budget allows.
             self._too_many()
             for write in reversed(group):
-                self._writes[write.order].appendleft(write)
+                self._writes[write.priority].appendleft(write)
             return
         values = (change.value or b"" for write in group for change in write.changes)
         if status == 400 and any(len(value) > self.small_bytes for value in values):
@@ -264,7 +264,7 @@
         if status == 400 and len(group) > 1:
             for write in reversed(group):
                 write.alone = True
-                self._writes[write.order].appendleft(write)
+                self._writes[write.priority].appendleft(write)
             return
         if status not in (200, 409, 400, None):
             status = 503
--- a/fallpulley/state/view.py
+++ b/fallpulley/state/view.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from fallpulley.state.lane import Lane, Order
+from fallpulley.state.client import Priority, StateClient
 
 log = logging.getLogger(__name__)
 
@@ -52,8 +52,8 @@
 
 
 class View:
-    def __init__(self, lane: Lane, on_key: OnKey, hold_s: float, spacing_s: float) -> None:
-        self.lane = lane
+    def __init__(self, state: StateClient, on_key: OnKey, hold_s: float, spacing_s: float) -> None:
+        self.state = state
         self.on_key = on_key
         self.hold_s = hold_s
         self.spacing_s = spacing_s
@@ -122,7 +122,7 @@
             self._loading = False
             self._next_poll = float("-inf")
 
-        self.lane.read(path, done, Order.READ, timeout_s=5.0)
+        self.state.read(path, done, Priority.READ, timeout_s=5.0)
 
     # -- watching --------------------------------------------------------------------------
 
@@ -137,7 +137,7 @@
             ok = self._take(status, body, sent_at)
             self._next_poll = max(now, sent_at) + (self.spacing_s if ok else 0.4)
 
-        self.lane.read(path, done, Order.READ, timeout_s=hold + 1.5)
+        self.state.read(path, done, Priority.READ, timeout_s=hold + 1.5)
 
     def _round(self, now: float) -> None:
         waiters, self._waiters = self._waiters, []
@@ -150,7 +150,7 @@
             for waiter, _ in waiters:
                 waiter(ok)
 
-        self.lane.read(path, done, Order.READ, timeout_s=ROUND_S, expires_at=now + ROUND_S)
+        self.state.read(path, done, Priority.READ, timeout_s=ROUND_S, expires_at=now + ROUND_S)
 
     def _take(self, status: int | None, body: bytes, sent_at: float) -> bool:
         if status == 410:
--- a/fallpulley/workers/machine.py
+++ b/fallpulley/workers/machine.py
@@ -52,9 +52,9 @@
         self.ordered = False  # a `run` went out that no check-in has settled yet
         self.checked = (0, -1)  # (shift, tick) of its newest check-in
         self.slot: Slot | None = None  # the planner's picture; None: something has changed
-        self.knocked_at = float("-inf")  # when it last reported without our token
-        self.knocks = 0  # answers to it before it showed our token
-        self.poked_at = float("-inf")
+        self.unfenced_at = float("-inf")  # when it last reported without our token
+        self.unfenced_answers = 0  # answers to it before it showed our token
+        self.prompted_at = float("-inf")
         self.got_at = now
         self.shift = 0
         self.tick = -1
@@ -162,7 +162,7 @@
     missed: bool = False  # an order of ours was not taken
     ended: list[tuple[Run | None, PieceState]] = []
     began: list[Run] = []
-    strangers: list[PieceState] = []
+    has_unaccounted_tasks: list[PieceState] = []
 
 
 def absorb(machine: Machine, report: Report, now: float, checkin: bool) -> Outcome:
@@ -197,7 +197,7 @@
                 del machine.runs[piece.piece]
             outcome.ended.append((run, piece))
         elif run is None:
-            outcome.strangers.append(piece)
+            outcome.has_unaccounted_tasks.append(piece)
         else:
             run.seen = True
             if piece.stage in (RUNNING, SAVING) and run.running_at is None:
