--- a/fallpulley/blocks/balance.py
+++ b/fallpulley/blocks/balance.py
@@ -47,11 +47,9 @@
     def give_if_unheard(self, held: HeldBlock) -> None:
         """No machine reaches us any more, but the state service and a peer do: the peer may be
         heard by them, and if so in time for their leases."""
-        heard = [m.heard_at for m in held.machines.values() if m.up]
-        now = self.core.now
-        if not heard or not self.session.live():
+        if self.core.now - held.heard_at < UNHEARD_LEASES * self.core.lease_s:
             return
-        if now - max(heard) < UNHEARD_LEASES * self.core.lease_s:
+        if not self.session.live() or not any(m.up for m in held.machines.values()):
             return
         peers = sorted(
             label
--- a/fallpulley/blocks/held.py
+++ b/fallpulley/blocks/held.py
@@ -8,12 +8,15 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import msgspec
 
+from fallpulley.blocks.attempts import AttemptNumbers
 from fallpulley.blocks.decisions import IGNORED_DECISIONS, DecisionSink
+from fallpulley.blocks.fencing import Fencing
 from fallpulley.blocks.messages import BlockRecord, MachineEntry
+from fallpulley.blocks.silence import LeaseWatch
 from fallpulley.core import DRIFT, Core
 from fallpulley.jobs.messages import ENSEMBLE, SERVICE, JobRecord, split_piece
 from fallpulley.jobs.open import OpenJob
@@ -25,13 +28,8 @@
 
 log = logging.getLogger(__name__)
 
-# Attempt numbers: the stamp of the takeover, then a counter. No other holder can make them.
-COUNTER_BITS = 22
 # A machine on which so many different jobs failed, and that completed less, is faulty.
 FAULTY_JOBS = 3
-# Fences under way at once: a block of hundreds of machines is taken over in bursts that leave
-# sockets and time for everybody else.
-FENCES_MOST = 48
 # A worker counts a higher token as a change once in half a lease.
 PROMPT_LEASES = 0.5
 # A service runs until it is cancelled; it is booked for so many worker leases at a time.
@@ -59,17 +57,21 @@
         self.jobs: dict[str, OpenJob] = {}
         self.booked: dict[str, list[Booking]] = {}
         self.dirty = True
-        self.counter = 0
-        self.fencing = 0  # fences under way
+        self.attempts = AttemptNumbers(stamp)
+        self.fencing = Fencing(self)
+        self.leases = LeaseWatch()
+        self.heard_at = float("-inf")  # when any machine last checked in
         self.touch = False  # a newer stamp of the record is wanted, to raise tokens with
-        self.marks_due = True  # what may hold tasks has changed: the record's marks are to follow
+        # Machines whose marks in the record are to follow what they may hold now.
+        self.marks_due: dict[str, None] = dict.fromkeys(self.machines)
+        self.unhearing: set[str] = set()  # machines that do not show that they hear us
         self.corrections = Corrections()
         self.decisions: DecisionSink = IGNORED_DECISIONS
 
     @property
     def first_attempt(self) -> int:
         """Attempts of this holder have this number or a higher one."""
-        return self.taken_stamp << COUNTER_BITS
+        return self.attempts.first
 
     # -- jobs ------------------------------------------------------------------------------
 
@@ -131,22 +133,27 @@
         self.record = record
         self.token = stamp
         self.touch = False
-        self.marks_due = True
-        for host in list(self.machines):
-            if host not in record.machines:
-                machine = self.machines.pop(host)
-                self.lose_runs(machine, "left")
-                self.unproven.discard(host)
-                self.decisions.machine_released(host)
-        for host, entry in record.machines.items():
-            if host not in self.machines:
-                self.machines[host] = Machine(host, entry, stamp, self.core.now)
-                log.info("machine granted machine=%s block=%s term=%d", host, self.label, stamp)
-                self.decisions.machine_granted(host)
-            elif self.machines[host].deaf_since is not None and self.machines[host].settled:
+        for host in sorted(self.machines.keys() - record.machines.keys()):
+            machine = self.machines.pop(host)
+            self.lose_runs(machine, "left")
+            self.unproven.discard(host)
+            self.unhearing.discard(host)
+            self.decisions.machine_released(host)
+        if len(self.machines) < len(record.machines):
+            # In the record's order: a set's would differ from run to run.
+            for host in [host for host in record.machines if host not in self.machines]:
+                self._gain(host, record.machines[host])
+        for host in self.unhearing:
+            if self.machines[host].settled:
                 self.machines[host].raise_token(stamp)
         self.dirty = True
 
+    def _gain(self, host: str, entry: MachineEntry) -> None:
+        self.machines[host] = Machine(host, entry, self.token, self.core.now)
+        self.marks_due[host] = None
+        log.info("machine granted machine=%s block=%s term=%d", host, self.label, self.token)
+        self.decisions.machine_granted(host)
+
     def lose_runs(self, machine: Machine, why: str) -> None:
         """The machine's tasks are proved gone."""
         if machine.runs:
@@ -157,7 +164,8 @@
         machine.pieces = {}
         machine.reported = []
         machine.slot = None
-        self.dirty = self.marks_due = True
+        self.dirty = True
+        self.marks_due[machine.host] = None
 
     def stop_broken(self) -> None:
         """What is left of an ensemble that lost a task makes room for all to start anew."""
@@ -178,35 +186,48 @@
         service, still serve the rest. Its lease is over only if it ran out before our last look
         at the records (`fresh_at`), which showed the block as ours.
         """
-        now = self.core.now
-        for machine in self.machines.values():
-            # A check-in that is about to be answered counts as answered: its reply goes out
-            # after this look, and renews the lease.
-            last = max(machine.replied_at, machine.heard_at)
-            if not machine.up and machine.runs:
-                # Its tasks are known from answers of `/do` alone, which renew no lease; a former
-                # holder's answers may have.
-                last = max(last, self.empty_at - self.core.lease_over_s)
-            elif not machine.up:
+        until = min(self.core.now, fresh_at)
+        for host in self.leases.due(until):
+            machine = self.machines.get(host)
+            if machine is None or not (machine.up or machine.runs):
                 continue
-            if min(now, fresh_at) > last + self.core.lease_over_s:
-                log.info("machine silent machine=%s", machine.host)
-                machine.up = False
-                machine.images.clear()
-                self.decisions.machine_reachable(machine.host, False)
-                self.lose_runs(machine, "lease")
-        if self.unproven and min(now, fresh_at) > self.empty_at:
+            if until > self._lease_over_at(machine):
+                self._fall_silent(machine)
+            else:
+                self._watch_lease(machine)
+        if self.unproven and until > self.empty_at:
             # Our own answers renew leases too, even of machines that have not reported since.
             empty = {
                 host
                 for host in self.unproven
-                if min(now, fresh_at) > self.machines[host].replied_at + self.core.lease_over_s
+                if until > self.machines[host].replied_at + self.core.lease_over_s
             }
             if empty:
                 log.info("machines proved empty block=%s n=%d", self.label, len(empty))
                 self.unproven -= empty
                 self.dirty = True
 
+    def _lease_over_at(self, machine: Machine) -> float:
+        # A check-in that is about to be answered counts as answered: its reply goes out
+        # after this look, and renews the lease.
+        last = max(machine.replied_at, machine.heard_at)
+        if not machine.up:
+            # Its tasks are known from answers of `/do` alone, which renew no lease; a former
+            # holder's answers may have.
+            return max(last + self.core.lease_over_s, self.empty_at)
+        return last + self.core.lease_over_s
+
+    def _watch_lease(self, machine: Machine) -> None:
+        if machine.up or machine.runs:
+            self.leases.watch(machine.host, self._lease_over_at(machine))
+
+    def _fall_silent(self, machine: Machine) -> None:
+        log.info("machine silent machine=%s", machine.host)
+        machine.up = False
+        machine.images.clear()
+        self.decisions.machine_reachable(machine.host, False)
+        self.lose_runs(machine, "lease")
+
     def proved_empty(self, host: str) -> None:
         """The cloud has confirmed that the machine is gone."""
         if host in self.unproven:
@@ -221,9 +242,18 @@
     def old_holders_ended(self) -> None:
         """The earlier holders' processes are gone: they answer nobody from now on."""
         self.empty_at = min(self.empty_at, self.core.now + self.core.lease_over_s)
+        self.leases.clear()
+        for machine in self.machines.values():
+            self._watch_lease(machine)
 
     def take_report(self, machine: Machine, report: Report, checkin: bool) -> bool:
         """Take in a report; False when it is not newer than what we know."""
+        newer = self._absorb(machine, report, checkin)
+        if newer:
+            self._watch_lease(machine)
+        return newer
+
+    def _absorb(self, machine: Machine, report: Report, checkin: bool) -> bool:
         now = self.core.now
         if not machine.newer(report):
             return False
@@ -238,7 +268,7 @@
             # Perhaps a late copy from before we had it: this renews nothing and proves nothing.
             machine.shift, machine.tick = report.shift, report.tick
             machine.unfenced_at = now
-            self.marks_due = True
+            self.marks_due[machine.host] = None
             return True
         outcome = absorb(machine, report, now, checkin)
         if checkin:
@@ -252,7 +282,8 @@
                 log.info("block settled block=%s term=%d", self.label, self.token)
             self.dirty = True
         if machine.usable != was_usable:
-            self.dirty = self.marks_due = True
+            self.dirty = True
+            self.marks_due[machine.host] = None
         if machine.recall_at is not None:
             self._recall(machine)
         return True
@@ -265,9 +296,11 @@
                 self.dirty = True
             if machine.deaf_since is not None:
                 machine.deaf_since = None
+                self.unhearing.discard(machine.host)
                 self.dirty = True
         elif not machine.settled and machine.deaf_since is None:
             machine.deaf_since = self.core.now
+            self.unhearing.add(machine.host)
 
     def _doubt_hearing(self, machine: Machine) -> None:
         """Its reports come, but an order of ours did not take. Reports alone prove neither that
@@ -275,6 +308,7 @@
         that it can have from us alone."""
         log.info("machine hears nothing machine=%s", machine.host)
         machine.deaf_since = self.core.now
+        self.unhearing.add(machine.host)
         self.dirty = True
         if not machine.raise_token(self.token):
             self.touch = True
@@ -282,11 +316,12 @@
     def _note_up(self, machine: Machine, checkin: bool) -> None:
         if checkin:
             if not machine.up:
-                self.dirty = self.marks_due = True
+                self.dirty = True
+                self.marks_due[machine.host] = None
                 log.info("machine up machine=%s shift=%d", machine.host, machine.shift)
                 self.decisions.machine_reachable(machine.host, True)
             machine.up = machine.ever_up = True
-            machine.heard_at = self.core.now
+            machine.heard_at = self.heard_at = self.core.now
 
     def _act(self, machine: Machine, outcome: Outcome) -> None:
         now = self.core.now
@@ -410,10 +445,16 @@
 
     # -- commands --------------------------------------------------------------------------
 
-    def start(self, machine: Machine, job: OpenJob, booking: Booking, estimate_s: float) -> Order:
+    def start(
+        self, machine: Machine, job: OpenJob, booking: Booking, estimate_s: float
+    ) -> Order | None:
+        """The order that starts a booked task; None where no attempt may be made now."""
         if job.spec.shape != ENSEMBLE or not job.runs:
-            self.counter += 1
-            job.attempt = (self.taken_stamp << COUNTER_BITS) + self.counter
+            self.touch = self.touch or self.attempts.wants_stamp
+            attempt = self.attempts.next(self.token)
+            if attempt is None:
+                return None
+            job.attempt = attempt
         # The tasks of an ensemble find each other by their common attempt.
         run = Run(
             job.job,
@@ -467,12 +508,17 @@
             machine.prompted_at = now
             self.direct(machine, [])
 
-    def direct(self, machine: Machine, orders: list[Order], fence: bool = False) -> None:
+    def direct(
+        self,
+        machine: Machine,
+        orders: list[Order],
+        answered: Callable[[int | None], None] | None = None,
+    ) -> None:
+        """Command a machine at its address; `answered` is told the outcome first."""
+
         def done(status: int | None, body: bytes, sent_at: float) -> None:
-            if fence:
-                self.fencing -= 1
-                machine.fence_busy = False
-                machine.fence_fails += status not in (200, 409)
+            if answered is not None:
+                answered(status)
             self._direct_answer(machine, status, body)
 
         message = msgspec.json.encode(Direct(machine.token, machine.shift or 1, orders))
@@ -493,30 +539,6 @@
             machine.shift = report.shift
             machine.fence_at = float("-inf")
 
-    def fence(self, addresses: dict[str, str]) -> None:
-        """Bring our token to the machines of a block just taken; their answers are reports."""
-        now = self.core.now
-        for machine in self.machines.values():
-            if not machine.entry.addr and machine.host in addresses:
-                entry = machine.entry
-                machine.entry = MachineEntry(
-                    addresses[machine.host], entry.build, entry.zone, entry.spot
-                )
-            if (
-                machine.host in self.unproven
-                and not machine.settled
-                and machine.entry.addr
-                and not machine.fence_busy
-                and now >= machine.fence_at
-                # It was told our token with the answer to its own report: its next one shows it.
-                and now >= machine.unfenced_at + self.core.report_s
-                and self.fencing < FENCES_MOST
-            ):
-                machine.fence_busy = True
-                self.fencing += 1
-                machine.fence_at = now + 0.5 * self.core.report_s
-                self.direct(machine, [], fence=True)
-
     def orders(self, machine: Machine) -> list[Order]:
         """Clears and stops for a check-in's reply."""
         orders: list[Order] = []
--- /dev/null
+++ b/fallpulley/blocks/layout.py
@@ -0,0 +1,263 @@
+"""How a change of a block's machines is laid out in values: pure functions.
+
+Up to some size a block's machines stand in its record. Beyond it they stand in parts: a change
+then writes the record, whose stamp is the fencing token, and the parts that it touches.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+
+from fallpulley.blocks.messages import BlockRecord, Part, encode_part
+from fallpulley.blocks.packing import MachineEntry, Machines, without_addresses
+from fallpulley.blocks.registry import BLOCKS, part_key
+from fallpulley.state.client import Change
+
+# A record with more machines is laid out in parts: every controller decodes all of a value at each
+# of its changes, which takes 2 ms of a whole core for as many, and 20 ms on a tenth of one.
+WHOLE_MOST = 1024
+# Machines in one part at the most, and in how many a block's parts are merged again.
+PART_MOST = 512
+MERGE_MOST = 256
+
+
+class RecordLimits(msgspec.Struct, frozen=True):
+    """What values may be."""
+
+    newer: bool  # of format 2 at the least
+    parts: bool  # of format 3
+    value_bytes: int
+    changes: int  # in one transaction, the record's own among them
+
+
+class Wishes(msgspec.Struct):
+    """What is to become of a block's machines."""
+
+    add: Machines = {}
+    remove: list[str] = []
+    marks: dict[str, bool] = {}
+    # Learned from lists and reports: a successor fences the machines directly.
+    addresses: Mapping[str, str] = {}
+
+
+class Edit(msgspec.Struct):
+    """The values to write, the record's own first, and which wishes they grant."""
+
+    changes: list[Change]
+    added: list[str]
+    removed: list[str]
+    changes_layout: bool = False  # no wish is granted, but the next change can grant some
+
+    @property
+    def size(self) -> int:
+        """Bytes of all values."""
+        return sum(len(change.value or b"") for change in self.changes)
+
+
+def edit_record(
+    label: str, record: BlockRecord, stamp: int, wishes: Wishes, limits: RecordLimits
+) -> Edit:
+    """Lay out as many of the wishes as one transaction holds; the rest is for a later one."""
+    if record.parts:
+        return _PartsEdit(label, record, stamp, wishes, limits).edit()
+    if limits.parts and len(record.machines) > WHOLE_MOST:
+        return _split(label, record, stamp, limits)
+    return _edit_whole(label, record, stamp, wishes, limits)
+
+
+def _edit_whole(
+    label: str, record: BlockRecord, stamp: int, wishes: Wishes, limits: RecordLimits
+) -> Edit:
+    machines = {host: e for host, e in record.machines.items() if host not in set(wishes.remove)}
+    added = list(wishes.add)
+    machines |= wishes.add
+    update_entries(machines, wishes)
+    value = _whole(record, machines, limits)
+    if len(value) > limits.value_bytes and limits.parts and record.machines:
+        return _split(label, record, stamp, limits)
+    while len(value) > limits.value_bytes and added:
+        # A record that no value holds could never be written again: what came last is left
+        # to the next list, which grants it to a block with room.
+        for host in added[len(added) // 2 :]:
+            machines.pop(host, None)
+        del added[len(added) // 2 :]
+        value = _whole(record, machines, limits)
+    return Edit([Change(BLOCKS + label, value)], added, list(wishes.remove))
+
+
+def _whole(record: BlockRecord, machines: Machines, limits: RecordLimits) -> bytes:
+    changed = BlockRecord(record.holder, record.boot, machines, record.earlier)
+    return changed.encode(limits.newer, limits.value_bytes)
+
+
+def update_entries(machines: Machines, wishes: Wishes) -> None:
+    """Fill in addresses and marks."""
+    for host, entry in machines.items():
+        used = wishes.marks.get(host, entry.used)
+        addr = entry.addr or wishes.addresses.get(host, "")
+        if used != entry.used or addr != entry.addr:
+            machines[host] = MachineEntry(addr, entry.build, entry.zone, entry.spot, used)
+
+
+def _split(label: str, record: BlockRecord, stamp: int, limits: RecordLimits) -> Edit:
+    """The record's machines in parts, neighbours together; wishes wait for the next change."""
+    hosts = sorted(record.machines)
+    most = max(1, limits.changes - 1)
+    count = min(most, max(2, -(-len(hosts) // PART_MOST)))
+    parts = _parts_of(record, hosts, count, stamp)
+    while count < most and any(_too_large(part, limits) for part in parts.values()):
+        count += 1
+        parts = _parts_of(record, hosts, count, stamp)
+    changes = [_head(label, record, parts)]
+    changes += [_part(label, number, part, limits) for number, part in parts.items()]
+    return Edit(changes, [], [], True)
+
+
+def _parts_of(record: BlockRecord, hosts: list[str], count: int, stamp: int) -> dict[int, Part]:
+    size = -(-len(hosts) // count)
+    return {
+        number: Part(stamp, {host: record.machines[host] for host in hosts[at : at + size]})
+        for number, at in enumerate(range(0, len(hosts), size))
+    }
+
+
+def _too_large(part: Part, limits: RecordLimits) -> bool:
+    return len(encode_part(part)) > limits.value_bytes
+
+
+def _head(label: str, record: BlockRecord, parts: dict[int, Part]) -> Change:
+    machines: Machines = {}
+    head = BlockRecord(record.holder, record.boot, machines, record.earlier, True, parts)
+    return Change(BLOCKS + label, head.encode(True, 0))
+
+
+def _part(label: str, number: int, part: Part, limits: RecordLimits) -> Change:
+    """Addresses are left out only where the part could not be written with them."""
+    value = encode_part(part)
+    if len(value) > limits.value_bytes:
+        value = encode_part(Part(part.version, without_addresses(part.machines)))
+    return Change(part_key(label, number), value)
+
+
+class _PartsEdit:
+    """A change of a block whose machines stand in parts."""
+
+    def __init__(
+        self, label: str, record: BlockRecord, stamp: int, wishes: Wishes, limits: RecordLimits
+    ) -> None:
+        self.label = label
+        self.record = record
+        self.stamp = stamp
+        self.wishes = wishes
+        self.limits = limits
+        self.touched: dict[int, Machines] = {}
+        self.added: list[str] = []
+        self.removed: list[str] = []
+
+    def edit(self) -> Edit:
+        """Removals first: they make room in the parts that they touch."""
+        if self._mergeable():
+            return self._merge()
+        for host in self.wishes.remove:
+            machines = self._touch(self._part_of(host))
+            if machines is not None:
+                machines.pop(host, None)
+                self.removed.append(host)
+        for host in self.wishes.marks:
+            self._touch(self._part_of(host))
+        for host in sorted(self.wishes.add):
+            machines = self._touch(self._part_with_room())
+            if machines is None:
+                break
+            machines[host] = self.wishes.add[host]
+            self.added.append(host)
+        for machines in self.touched.values():
+            update_entries(machines, self.wishes)
+        self._split_large()
+        return self._encode()
+
+    def _part_of(self, host: str) -> int | None:
+        for number, part in self.record.parts.items():
+            if host in part.machines:
+                return number
+        return None
+
+    def _touch(self, number: int | None) -> Machines | None:
+        """The machines of a part that is to be written; None where no more can be."""
+        if number is None:
+            return None
+        machines = self.touched.get(number)
+        if machines is None and len(self.touched) + 1 < self.limits.changes:
+            part = self.record.parts.get(number)
+            machines = self.touched[number] = dict(part.machines) if part is not None else {}
+        return machines
+
+    def _part_with_room(self) -> int:
+        """One that is written anyway, else the fullest with room, else a new one."""
+        for number, machines in self.touched.items():
+            if len(machines) < PART_MOST:
+                return number
+        free = [
+            (len(part.machines), number)
+            for number, part in self.record.parts.items()
+            if number not in self.touched and len(part.machines) < PART_MOST
+        ]
+        return max(free)[1] if free else self._new_number()
+
+    def _new_number(self) -> int:
+        number = 0
+        while number in self.record.parts or number in self.touched:
+            number += 1
+        return number
+
+    def _split_large(self) -> None:
+        """A part that no value holds goes in two, or leaves what came last to a later change."""
+        waiting = list(self.touched)
+        while waiting:
+            number = waiting.pop()
+            machines = self.touched[number]
+            if not _too_large(Part(self.stamp, machines), self.limits) or len(machines) < 2:
+                continue
+            if len(self.touched) + 1 < self.limits.changes:
+                upper = sorted(machines)[len(machines) // 2 :]
+                new = self._new_number()
+                self.touched[new] = {host: machines.pop(host) for host in upper}
+                waiting += [number, new]
+            elif self._drop_added(machines):
+                waiting.append(number)
+
+    def _drop_added(self, machines: Machines) -> bool:
+        added = [host for host in self.added if host in machines]
+        dropped = set(added[len(added) // 2 :])
+        for host in dropped:
+            del machines[host]
+        self.added = [host for host in self.added if host not in dropped]
+        return bool(dropped)
+
+    def _encode(self) -> Edit:
+        parts = dict(self.record.parts)
+        changes = []
+        for number, machines in self.touched.items():
+            if machines:
+                parts[number] = Part(self.stamp, machines)
+                changes.append(_part(self.label, number, parts[number], self.limits))
+            else:
+                parts.pop(number, None)
+                changes.append(Change(part_key(self.label, number), None))
+        return Edit([_head(self.label, self.record, parts), *changes], self.added, self.removed)
+
+    def _mergeable(self) -> bool:
+        few = len(self.record.machines) + len(self.wishes.add) <= MERGE_MOST
+        if not few or len(self.record.parts) + 1 > self.limits.changes:
+            return False
+        value = _whole(self.record, self.record.machines, self.limits)
+        return len(value) * 2 <= self.limits.value_bytes
+
+    def _merge(self) -> Edit:
+        """A fleet that has shrunk pays for one value a change again; wishes wait for the next."""
+        value = _whole(self.record, self.record.machines, self.limits)
+        changes = [Change(BLOCKS + self.label, value)]
+        changes += [Change(part_key(self.label, number), None) for number in self.record.parts]
+        return Edit(changes, [], [], True)
--- a/fallpulley/blocks/leadership.py
+++ b/fallpulley/blocks/leadership.py
@@ -8,11 +8,12 @@
 
 import msgspec
 
-from fallpulley.blocks.messages import NEWER_FORMAT, BlockRecord, FormatMark, Session
+from fallpulley.blocks.messages import BlockRecord, FormatMark, Former, Session
 from fallpulley.blocks.registry import BLOCKS, FORMAT, LEADER, SESSIONS, Registry
 from fallpulley.blocks.session import SessionLease
 from fallpulley.blocks.shares import FULL_RECORDS, blocks_wanted, machines_per_block
 from fallpulley.core import Core
+from fallpulley.formats import NEWEST_FORMAT
 from fallpulley.state.client import Change, Priority, Write
 from fallpulley.state.view import View
 
@@ -70,7 +71,7 @@
                 self._take(label, record, stamp)
         if leading:
             self._open_wanted()
-            if self.registry.format < NEWER_FORMAT:
+            if self.registry.format < NEWEST_FORMAT:
                 self._mark_format()
         self._hand_back()
 
@@ -94,29 +95,34 @@
         full_bytes = FULL_RECORDS * self.core.value_bytes
         if self.core.newer_format and self.registry.older:
             return  # they shrink first: a second block would cost more than it carries
+        if self.core.parts_format and not all(record.parts for record, _ in blocks.values()):
+            return  # a record that is full is laid out in parts first
         if blocks and all(self.registry.filled[label] > full_bytes for label in blocks):
             # However few controllers there are, the records must hold all machines.
             more = (f"{self.core.label}.{number}" for number in itertools.count(2))
             names = itertools.chain(self._labels, more)
             self._open(next(name for name in names if name not in blocks), self.core.label)
 
-    def _mark_format(self) -> None:
-        """All controllers have been seen with a process that knows the newer format: none comes
-        back with an older one, so from here on records may be written in it. There is no way
-        back; nothing waits for it."""
+    def _agreed_format(self) -> int:
+        """The newest that all controllers have been seen to know: none comes back with a process
+        that does not."""
         known = self.registry.formats
-        all_know = all(known.get(label, 0) >= NEWER_FORMAT for label in self._labels)
         if len(self._labels) < self.core.settings.facts.nodes:
-            all_know = False
-        if not all_know and not self.core.newer_format:
-            return
-        if not self._guard(FORMAT):
+            return self.core.record_format
+        agreed = min(known.get(label, 0) for label in self._labels)
+        return max(self.core.record_format, agreed)
+
+    def _mark_format(self) -> None:
+        """From here on records may be written in a newer format. There is no way back; nothing
+        waits for it."""
+        agreed = self._agreed_format()
+        if agreed <= self.registry.format or not self._guard(FORMAT):
             return
-        log.info("records newer format is marked seen=%s", known)
+        log.info("records newer format is marked format=%d", agreed)
         self.core.state.write(
             Write(
                 {FORMAT: self.view.stamp(FORMAT)},
-                [Change(FORMAT, msgspec.json.encode(FormatMark(NEWER_FORMAT)))],
+                [Change(FORMAT, msgspec.json.encode(FormatMark(agreed)))],
                 lambda status, ledger: self._done(FORMAT, f"format {status}"),
                 Priority.ACCEPT,
                 alone=True,
@@ -158,7 +164,7 @@
         log.info("block given block=%s to=%s", label, to)
         conditions = {key: stamp, SESSIONS + to: session_stamp}
         formers = self.registry.formers(record, self.core.label, self.core.boot)
-        value = self._encode(BlockRecord(to, session.boot, record.machines, formers))
+        value = self._encode(record, to, session.boot, formers)
         self._write(key, conditions, value)
 
     def _guard(self, key: str) -> bool:
@@ -204,7 +210,7 @@
         }
         formers = self.registry.formers(record, self.core.label, self.core.boot)
         formers = [former for former in formers if former.boot != self.core.boot]
-        value = self._encode(BlockRecord(self.core.label, self.core.boot, record.machines, formers))
+        value = self._encode(record, self.core.label, self.core.boot, formers)
         self._write(key, conditions, value)
 
     def _open(self, label: str, holder: str) -> None:
@@ -213,10 +219,14 @@
             return
         session, stamp = self.registry.sessions[holder]
         conditions = {key: 0, SESSIONS + holder: stamp}
-        self._write(key, conditions, self._encode(BlockRecord(holder, session.boot, {})))
-
-    def _encode(self, record: BlockRecord) -> bytes:
-        return record.encode(self.core.newer_format, self.core.value_bytes)
+        empty = BlockRecord(holder, session.boot, {})
+        self._write(key, conditions, self._encode(empty, holder, session.boot, []))
+
+    def _encode(self, record: BlockRecord, holder: str, boot: str, formers: list[Former]) -> bytes:
+        """The record under another holder. Its parts stay as they are: one write, however many
+        machines there are."""
+        changed = msgspec.structs.replace(record, holder=holder, boot=boot, earlier=formers)
+        return changed.encode(self.core.newer_format, self.core.value_bytes)
 
     def _write(self, key: str, conditions: dict[str, int], value: bytes) -> None:
         self.core.state.write(
--- a/fallpulley/blocks/marks.py
+++ b/fallpulley/blocks/marks.py
@@ -7,6 +7,9 @@
 from fallpulley.core import Core
 from fallpulley.workers.machine import Machine
 
+# Machines compared at once by the clock: about a millisecond of a whole core.
+COMPARE_MOST = 1024
+
 
 class UsedMarks:
     """Compares a held block's machines with their marks, and asks for what differs."""
@@ -14,12 +17,27 @@
     def __init__(self, core: Core, writer: BlockWriter) -> None:
         self.core = core
         self.writer = writer
+        self._next: dict[str, int] = {}  # block -> where its next turn begins
 
     def compare(self, held: HeldBlock) -> None:
-        """Ask for the marks that differ, and see which of those asked for are in the record."""
-        for host, machine in held.machines.items():
+        """Look at all machines, of a large block at the next ones in turn: what they may hold
+        changes by time alone, too."""
+        hosts = list(held.machines)
+        if len(hosts) > COMPARE_MOST:
+            at = self._next.get(held.label, 0) % len(hosts)
+            self._next[held.label] = at + COMPARE_MOST
+            hosts = (hosts + hosts)[at : at + COMPARE_MOST]
+        held.marks_due.update(dict.fromkeys(hosts))
+        self.follow(held)
+
+    def follow(self, held: HeldBlock) -> None:
+        """Ask for the marks that differ among the machines due, and see which of those asked for
+        are in the record. One whose mark or move is on its way is looked at again."""
+        due, held.marks_due = held.marks_due, {}
+        for host in due:
+            machine = held.machines.get(host)
             entry = held.record.machines.get(host)
-            if entry is None:
+            if machine is None or entry is None:
                 continue
             marked = self.writer.marks.get(held.label, {}).get(host, entry.used)
             self._follow(held, machine, marked)
@@ -30,8 +48,8 @@
             if used != machine.used:
                 machine.used = used
                 held.dirty = True
-        # A mark on its way counts once the writer has seen it in the record: look again then.
-        held.marks_due = bool(self.writer.marks.get(held.label))
+            if machine.leaving or host in self.writer.marks.get(held.label, ()):
+                held.marks_due[host] = None
 
     def _follow(self, held: HeldBlock, machine: Machine, marked: bool) -> None:
         unfenced = self.core.now < machine.unfenced_at + self.core.lease_s
--- a/fallpulley/blocks/registry.py
+++ b/fallpulley/blocks/registry.py
@@ -8,14 +8,18 @@
 import msgspec
 
 from fallpulley.blocks.messages import (
+    BlockHead,
     BlockRecord,
     FormatMark,
     Former,
+    Part,
     Retired,
     Session,
     TeamHome,
-    decode_block,
+    decode_head,
+    decode_part,
 )
+from fallpulley.blocks.packing import entry_cache
 from fallpulley.fleet.messages import Catalog, MachineType
 
 log = logging.getLogger(__name__)
@@ -25,11 +29,26 @@
 CATALOG = "live/catalog"
 SHARES = "live/shares"
 BLOCKS, SESSIONS, TEAMS, RETIRED = "live/block/", "live/session/", "live/team/", "live/retire/"
+# Not under BLOCKS: there a version that does not know parts would take each for a block.
+PARTS = "live/machines/"
 
 T = TypeVar("T")
 
 
+def part_key(label: str, number: int) -> str:
+    """Where a part of a block's machines stands."""
+    return f"{PARTS}{label}/{number}"
+
+
+def _named_part(key: str) -> tuple[str, int] | None:
+    label, _, number = key[len(PARTS) :].rpartition("/")
+    return (label, int(number)) if label and number.isdigit() else None
+
+
 class Registry:
+    """The newest copy of each record. A block whose machines stand in parts is shown once its
+    record and all parts that it names are from one revision."""
+
     def __init__(self) -> None:
         self.sessions: dict[str, tuple[Session, int]] = {}
         self.leader: tuple[Session, int] | None = None
@@ -37,6 +56,9 @@
         self.filled: dict[str, int] = {}  # block -> bytes of its record's value
         self.older: set[str] = set()  # blocks whose records are in the older format
         self.host_block: dict[str, str] = {}
+        self._heads: dict[str, tuple[BlockHead, int]] = {}  # with parts, and their stamps
+        self._parts: dict[str, dict[int, Part]] = {}  # block -> its parts as last seen
+        self._processors: dict[str, tuple[int, float]] = {}  # block -> stamp and sum
         self.homes: dict[str, str] = {}
         self.retired: dict[str, str] = {}  # machine to be released -> its record's key
         self.retiring: dict[str, list[str]] = {}  # key -> its machines
@@ -45,17 +67,17 @@
         self.types: dict[str, MachineType] = {}
         self.lost_sessions: dict[str, int] = {}  # label -> stamp at which it was last dropped
 
-    def on_key(self, key: str, value: bytes | None, stamp: int) -> None:
+    def on_key(self, key: str, value: bytes | None, stamp: int) -> str | None:
+        """Take a record; returns the block whose record, as it is shown, has changed with it."""
         if key.startswith(BLOCKS):
-            label = key[len(BLOCKS) :]
-            self.filled[label] = len(value or b"")
-            record = _block(value)
-            if record is not None and not record.newer:
-                self.older.add(label)
-            else:
-                self.older.discard(label)
-            self._on_block(label, record, stamp)
-        elif key.startswith(SESSIONS):
+            return self._on_head(key[len(BLOCKS) :], value, stamp)
+        if key.startswith(PARTS):
+            return self._on_part(key, value)
+        self._on_other(key, value, stamp)
+        return None
+
+    def _on_other(self, key: str, value: bytes | None, stamp: int) -> None:
+        if key.startswith(SESSIONS):
             label = key[len(SESSIONS) :]
             session = _decode(value, Session)
             if session is None:
@@ -88,19 +110,88 @@
             catalog = _decode(value, Catalog)
             if catalog is not None:
                 self.types = {kind.label: kind for kind in catalog.builds}
-
-    def _on_block(self, label: str, record: BlockRecord | None, stamp: int) -> None:
+                self._processors.clear()
+
+    def _on_head(self, label: str, value: bytes | None, stamp: int) -> str | None:
+        self.filled[label] = len(value or b"")
+        head = _head(value)
+        if head is not None and not head.record.newer:
+            self.older.add(label)
+        else:
+            self.older.discard(label)
+        if head is None or not head.versions:
+            self._heads.pop(label, None)
+            self._show(label, None if head is None else head.record, stamp)
+            return label
+        self._heads[label] = (head, stamp)
+        return self._assemble(label)
+
+    def _on_part(self, key: str, value: bytes | None) -> str | None:
+        named = _named_part(key)
+        if named is None:
+            return None
+        label, number = named
+        part = _part(value)
+        parts = self._parts.setdefault(label, {})
+        if part is None:
+            parts.pop(number, None)
+            return None
+        parts[number] = part
+        return self._assemble(label)
+
+    def _assemble(self, label: str) -> str | None:
+        """Show the block if its record and its parts belong together. One transaction writes both,
+        but they arrive one after the other, and pages of a listing may lie a change apart."""
+        entry = self._heads.get(label)
+        if entry is None:
+            return None
+        head, stamp = entry
+        shown = self.blocks.get(label)
+        if shown is not None and shown[1] >= stamp:
+            return None
+        parts = self._parts.get(label, {})
+        found: dict[int, Part] = {}
+        for number, version in head.versions.items():
+            part = parts.get(number)
+            if part is None or part.version != version:
+                return None
+            found[number] = part
+        machines = {}
+        for part in found.values():
+            machines.update(part.machines)
+        record = head.record
+        self._show(
+            label,
+            BlockRecord(record.holder, record.boot, machines, record.earlier, True, found),
+            stamp,
+        )
+        return label
+
+    def _show(self, label: str, record: BlockRecord | None, stamp: int) -> None:
         old = self.blocks.get(label)
-        if old is not None:
-            for host in old[0].machines:
-                if self.host_block.get(host) == label:
-                    del self.host_block[host]
+        before = old[0].machines.keys() if old is not None else set()
+        after = record.machines.keys() if record is not None else set()
+        for host in before - after:
+            if self.host_block.get(host) == label:
+                del self.host_block[host]
         if record is None:
             self.blocks.pop(label, None)
             return
         self.blocks[label] = (record, stamp)
-        for host in record.machines:
+        for host in record.machines if old is None else after - before:
             self.host_block[host] = label
+        entry_cache.fit(sum(len(block.machines) for block, _ in self.blocks.values()))
+
+    def processors(self, label: str) -> float:
+        """Of all machines in a block's record."""
+        record, stamp = self.blocks[label]
+        known = self._processors.get(label)
+        if known is not None and known[0] == stamp:
+            return known[1]
+        types = self.types
+        found = sum(types[m.build].cpus for m in record.machines.values() if m.build in types)
+        self._processors[label] = (stamp, found)
+        return found
 
     def holder_of(self, label: str) -> str | None:
         entry = self.blocks.get(label)
@@ -123,16 +214,26 @@
         return session is not None and session[0].boot == record.boot
 
 
-def _block(value: bytes | None) -> BlockRecord | None:
+def _head(value: bytes | None) -> BlockHead | None:
     if value is None:
         return None
     try:
-        return decode_block(value)
+        return decode_head(value)
     except msgspec.MsgspecError:
         log.error("state broken record %.80r", value)
         return None
 
 
+def _part(value: bytes | None) -> Part | None:
+    if value is None:
+        return None
+    try:
+        return decode_part(value)
+    except msgspec.MsgspecError:
+        log.error("state broken part %.80r", value)
+        return None
+
+
 def _decode(value: bytes | None, shape: type[T]) -> T | None:
     if value is None:
         return None
--- a/fallpulley/blocks/session.py
+++ b/fallpulley/blocks/session.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
-from fallpulley.blocks.messages import NEWER_FORMAT, Grant, Session
+from fallpulley.blocks.messages import Grant, Session
 from fallpulley.core import Core
+from fallpulley.formats import NEWEST_FORMAT
 from fallpulley.state.client import Change, Priority, Write
 from fallpulley.state.view import View
 
@@ -22,7 +23,7 @@
         self.core = core
         self.view = view
         self.key = f"live/session/{core.label}"
-        self.format = NEWER_FORMAT  # the newest record format that this process knows
+        self.format = NEWEST_FORMAT  # the newest record format that this process knows
         self.tenure: int | None = None
         self.held = False  # the key is attached to our lease
         self.renewed_at = float("-inf")  # when the last successful renewal was sent
--- a/fallpulley/blocks/writer.py
+++ b/fallpulley/blocks/writer.py
@@ -6,9 +6,10 @@
 
 import msgspec
 
-from fallpulley.blocks.messages import BlockRecord, MachineEntry, Retired
+from fallpulley.blocks.layout import Edit, RecordLimits, Wishes, edit_record
+from fallpulley.blocks.messages import BlockRecord, MachineEntry, Machines, Retired
 from fallpulley.blocks.registry import BLOCKS, RETIRED, Registry
-from fallpulley.blocks.shares import ENTRY_BYTES, ENTRY_BYTES_NEWER
+from fallpulley.blocks.shares import ENTRY_BYTES, ENTRY_BYTES_NEWER, FULL_RECORDS
 from fallpulley.core import Core
 from fallpulley.state.client import TXN_BYTES, Change, Priority, Write
 from fallpulley.state.view import View
@@ -16,9 +17,14 @@
 log = logging.getLogger(__name__)
 
 
-# Machines in one record of those to be released: far below what a value holds, and a release takes
-# a hundred.
+# Machines in one record of those to be released, if their names leave it below a quarter of a
+# value; a release takes a hundred.
 RETIRED_MOST = 40
+RETIRED_SHARE = 0.25
+# Beside a block's own values: the record of machines to be released.
+BESIDES_CHANGES = 1
+# A record and one part of it: what the smallest transaction holds twice.
+LEAST_CHANGES = 2
 # Of a report interval, the least time between two writes of a block's record.
 WRITE_REPORTS = 0.1
 
@@ -45,6 +51,7 @@
         self.touching: set[str] = set()  # blocks that request a newer stamp, changed or not
         self.addresses: dict[str, str] = {}  # learned from lists and reports
         self._busy: dict[str, float] = {}  # block -> until when its last write is awaited
+        self._handed: set[str] = set()  # blocks whose last write moved machines elsewhere
 
     def add(self, block: str, host: str, entry: MachineEntry) -> None:
         self.adding.setdefault(block, {})[host] = entry
@@ -88,6 +95,8 @@
     def has_room(self, block: str) -> bool:
         """The block's record can take one machine more."""
         coming = len(self.adding.get(block, ())) + 1
+        if self.core.parts_format:
+            return not self._head_full(block)
         if not self.core.newer_format:
             return (
                 self.registry.filled.get(block, 0) + coming * ENTRY_BYTES <= self.core.value_bytes
@@ -97,6 +106,13 @@
         filled = self.registry.filled.get(block, 0)
         return filled + coming * ENTRY_BYTES_NEWER <= self.core.value_bytes
 
+    def _head_full(self, block: str) -> bool:
+        """Its machines stand in so many parts that the list of them fills the record."""
+        entry = self.registry.blocks.get(block)
+        filled = self.registry.filled.get(block, 0)
+        full_bytes = FULL_RECORDS * self.core.value_bytes
+        return entry is not None and bool(entry[0].parts) and filled > full_bytes
+
     def coming(self, host: str) -> bool:
         return any(host in hosts for hosts in self.adding.values())
 
@@ -141,38 +157,21 @@
             for wish in (self.adding, self.removing, self.marks, self.handing):
                 wish.pop(label, None)
             return
-        # In the older format each machine that goes has a record of its own.
-        newer = self.core.newer_format
-        out = sorted(removing)[: RETIRED_MOST if newer else self.core.txn_ops - 3]
-        machines = {h: e for h, e in record.machines.items() if h not in out}
-        machines |= adding
-        # A successor fences the machines directly: it needs their addresses.
-        for host, entry in machines.items():
-            if not entry.addr and host in self.addresses:
-                machines[host] = MachineEntry(
-                    self.addresses[host], entry.build, entry.zone, entry.spot, entry.used
-                )
-        for host, used in marks.items():
-            if host in machines:
-                entry = machines[host]
-                machines[host] = MachineEntry(entry.addr, entry.build, entry.zone, entry.spot, used)
-        key = BLOCKS + label
-        conditions = {key: stamp}
-        changes = self._hand(label, handing, machines, conditions)
-        earlier = [] if label in self.alone else record.earlier
-        value = self._encode(BlockRecord(record.holder, record.boot, machines, earlier))
-        while len(value) > self.core.value_bytes and adding:
-            # A record that no value holds could never be written again: what came last is left
-            # to the next list, which grants it to a block with room.
-            for host in list(adding)[len(adding) // 2 :]:
-                del adding[host]
-                machines.pop(host, None)
-            value = self._encode(BlockRecord(record.holder, record.boot, machines, earlier))
-        changes.append(Change(key, value))
-        if newer and out:
-            changes.append(Change(RETIRED + out[0], msgspec.json.encode(Retired(out))))
-        elif out:
-            changes += [Change(RETIRED + host, b"{}") for host in out]
+        others = bool(adding or removing or marks or touch)
+        move = None
+        if handing and not (others and label in self._handed):
+            move = self._move(label, record, stamp, handing)
+        if move is not None:
+            self._handed.add(label)
+            changes, conditions = move
+        elif others:
+            self._handed.discard(label)
+            changes, conditions = self._change(label, record, stamp)
+        else:
+            return
+        self._send(label, changes, conditions)
+
+    def _send(self, label: str, changes: list[Change], conditions: dict[str, int]) -> None:
         self._busy[label] = self.core.now + 3.0
 
         def written(status: int | None, ledger: int) -> None:
@@ -190,34 +189,90 @@
 
         self.core.state.write(Write(conditions, changes, written, Priority.ACCEPT))
 
-    def _encode(self, record: BlockRecord) -> bytes:
-        return record.encode(self.core.newer_format, self.core.value_bytes)
+    # -- what one transaction changes ------------------------------------------------------
+
+    def _limits(self, changes: int) -> RecordLimits:
+        core = self.core
+        return RecordLimits(core.newer_format, core.parts_format, core.value_bytes, changes)
+
+    def _current(self, label: str, record: BlockRecord) -> BlockRecord:
+        """The record without former holders that answer nobody any more."""
+        if label not in self.alone:
+            return record
+        return msgspec.structs.replace(record, earlier=[])
+
+    def _change(
+        self, label: str, record: BlockRecord, stamp: int
+    ) -> tuple[list[Change], dict[str, int]]:
+        """Machines that come or go, and marks."""
+        adding = self.adding.get(label, {})
+        out = self._retirable(self.removing.get(label, set()))
+        wishes = Wishes(adding, out, self.marks.get(label, {}), self.addresses)
+        record = self._current(label, record)
+        most = self.core.txn_ops - BESIDES_CHANGES
+        edit = edit_record(label, record, stamp, wishes, self._limits(most))
+        while edit.size > TXN_BYTES and most > LEAST_CHANGES:
+            most = max(LEAST_CHANGES, most // 2)
+            edit = edit_record(label, record, stamp, wishes, self._limits(most))
+        if not self.core.parts_format:
+            # Left to the next list, which grants it to a block with room.
+            for host in adding.keys() - set(edit.added):
+                del adding[host]
+        return edit.changes + self._retire(edit.removed), {BLOCKS + label: stamp}
+
+    def _retirable(self, removing: set[str]) -> list[str]:
+        """Those that one transaction may both take out and have released."""
+        out = sorted(removing)
+        if not self.core.newer_format:
+            # In the first format each machine that goes has a record of its own.
+            return out[: self.core.txn_ops - 3]
+        out = out[:RETIRED_MOST]
+        room = RETIRED_SHARE * self.core.value_bytes
+        while len(out) > 1 and len(msgspec.json.encode(Retired(out))) > room:
+            out = out[: len(out) // 2]
+        return out
+
+    def _retire(self, hosts: list[str]) -> list[Change]:
+        if not hosts:
+            return []
+        if self.core.newer_format:
+            return [Change(RETIRED + hosts[0], msgspec.json.encode(Retired(hosts)))]
+        return [Change(RETIRED + host, b"{}") for host in hosts]
 
-    def _hand(
-        self,
-        own: str,
-        handing: dict[str, str],
-        machines: dict[str, MachineEntry],
-        conditions: dict[str, int],
-    ) -> list[Change]:
+    def _move(
+        self, own: str, record: BlockRecord, stamp: int, handing: dict[str, str]
+    ) -> tuple[list[Change], dict[str, int]] | None:
         """Move machines to the first block that is to get any: both records change at one
         stamp, so both blocks' tokens rise above all that came before."""
         to = next(iter(handing.values()), None)
         other = self.registry.blocks.get(to) if to is not None else None
         if to is None or other is None:
-            return []
-        record, stamp = other
-        moved = [host for host, block in handing.items() if block == to and host in machines]
-        gets = dict(record.machines)
-        for host in moved:
-            entry = machines[host]
-            gets[host] = MachineEntry(entry.addr, entry.build, entry.zone, entry.spot)
-        value = self._encode(BlockRecord(record.holder, record.boot, gets, record.earlier))
-        ours = self.registry.filled.get(own, 0)
-        if len(value) > self.core.value_bytes or len(value) + ours > TXN_BYTES:
+            return None
+        half = self.core.txn_ops // 2
+        going = {
+            host: _unused(record.machines[host])
+            for host, block in handing.items()
+            if block == to and host in record.machines
+        }
+        gets = self._get(to, other, going, half)
+        taken = Wishes({}, gets.added, self.marks.get(own, {}), self.addresses)
+        gives = edit_record(own, self._current(own, record), stamp, taken, self._limits(half))
+        if set(gives.removed) != set(gets.added):
+            going = {host: going[host] for host in gives.removed}
+            gets = self._get(to, other, going, half)
+        if set(gives.removed) != set(gets.added) or gives.size + gets.size > TXN_BYTES:
             handing.clear()  # a value, or the transaction with both, would be too large: they stay
-            return []
-        for host in moved:
-            del machines[host]
-        conditions[BLOCKS + to] = stamp
-        return [Change(BLOCKS + to, value)]
+            return None
+        if not gets.added and not (gets.changes_layout or gives.changes_layout):
+            handing.clear()
+            return None
+        return gives.changes + gets.changes, {BLOCKS + own: stamp, BLOCKS + to: other[1]}
+
+    def _get(
+        self, to: str, other: tuple[BlockRecord, int], machines: Machines, changes: int
+    ) -> Edit:
+        return edit_record(to, other[0], other[1], Wishes(machines), self._limits(changes))
+
+
+def _unused(entry: MachineEntry) -> MachineEntry:
+    return MachineEntry(entry.addr, entry.build, entry.zone, entry.spot)
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -13,8 +13,8 @@
 from fallpulley.blocks.held import HeldBlock
 from fallpulley.blocks.leadership import Leadership
 from fallpulley.blocks.marks import UsedMarks
-from fallpulley.blocks.messages import NEWER_FORMAT, Former
-from fallpulley.blocks.registry import BLOCKS, FORMAT, SESSIONS, SHARES, Registry
+from fallpulley.blocks.messages import Former
+from fallpulley.blocks.registry import FORMAT, SESSIONS, SHARES, Registry
 from fallpulley.blocks.session import SessionLease
 from fallpulley.blocks.shares import write_share
 from fallpulley.blocks.writer import BlockWriter
@@ -103,6 +103,7 @@
         self._machine_requests: dict[str, list[MachineRequest]] = {}  # by block
         self._next_tick = float("-inf")
         self._marks_at = float("-inf")
+        self._look_again = True  # plans or marks have changed what check-ins wait for
 
     # -- the batch -------------------------------------------------------------------------
 
@@ -298,20 +299,18 @@
             if self.shares is not None:
                 self.shares.on_record(value)
             return
-        previous = None
-        if key.startswith(BLOCKS):
-            entry = self.registry.blocks.get(key[len(BLOCKS) :])
-            previous = (entry[0].holder, entry[0].boot) if entry else None
-        self.registry.on_key(key, value, stamp)
-        if key.startswith(BLOCKS):
-            self._on_block(key[len(BLOCKS) :], previous)
+        holders = {label: entry[0] for label, entry in self.registry.blocks.items()}
+        block = self.registry.on_key(key, value, stamp)
+        if block is not None:
+            previous = holders.get(block)
+            self._on_block(block, (previous.holder, previous.boot) if previous else None)
             self._share_writes()
         elif key.startswith(SESSIONS):
             self._check_old_holders()
             if value is not None and self.standby is not None:
                 self.standby.session_began(key[len(SESSIONS) :])
-        elif key == FORMAT and self.registry.format >= NEWER_FORMAT:
-            self.core.begin_newer_format()
+        elif key == FORMAT:
+            self.core.begin_format(self.registry.format)
             self._share_writes()
 
     def _on_job(self, job: str, value: bytes | None, stamp: int) -> None:
@@ -403,6 +402,7 @@
         if self.core.now < self._next_tick:
             return
         self._next_tick = self.core.now + TICK_REPORTS * self.core.report_s
+        self._look_again = True
         self.leadership.tick()
         term = self.leadership.term
         if term is not None:
@@ -414,10 +414,12 @@
             held.settle_silent(self.view.fresh_at)
             held.stop_broken()
             self.balance.give_if_unheard(held)
-            if held.marks_due or marks_due:
+            if marks_due:
                 self.marks.compare(held)
+            elif held.marks_due:
+                self.marks.follow(held)
             if held.unproven:
-                held.fence(self.writer.addresses)
+                held.fencing.tick(self.writer.addresses)
             if held.formers_silent():
                 self.writer.alone.add(held.label)
             if held.touch or (self.core.newer_format and held.label in self.registry.older):
@@ -455,8 +457,9 @@
         return counts
 
     def _plan(self) -> None:
-        if self.view.ready:
-            self.planner.plan(self.held)
+        if self.view.ready and self.planner.plan(self.held):
+            self._look_again = True
 
     def _answer_checkins(self) -> None:
-        self.checkins.answer_deferred()
+        look_again, self._look_again = self._look_again, False
+        self.checkins.answer_deferred(look_again)
--- a/fallpulley/core.py
+++ b/fallpulley/core.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from fallpulley.effects import Answer, Call, Done, Effect
+from fallpulley.formats import PARTS_FORMAT, RUNS_FORMAT
 from fallpulley.settings import Settings
 from fallpulley.state.client import StateClient
 
@@ -28,8 +29,8 @@
         self.effects: list[Effect] = []
         facts = settings.facts
         nodes = max(facts.nodes, 1)
-        # Every controller knows the newer record format: the marker in the state service says so.
-        self.newer_format = False
+        # That records may be written in, by the marker in the state service.
+        self.record_format = 1
         self.lesser = facts.state.lesser()
         self.state = StateClient(
             settings.endpoints.state,
@@ -57,6 +58,16 @@
         # A worker's lease is certainly over this long after the last answer to it.
         self.lease_over_s = workers.lease_s * DRIFT + 0.25 * workers.report_s
 
+    @property
+    def newer_format(self) -> bool:
+        """Records may be written as the first version could not read them."""
+        return self.record_format >= RUNS_FORMAT
+
+    @property
+    def parts_format(self) -> bool:
+        """A block's machines may stand in several values."""
+        return self.record_format >= PARTS_FORMAT
+
     @property
     def txn_ops(self) -> int:
         return self.lesser.txn_ops
@@ -73,15 +84,17 @@
         """A value was refused that was allowed before. The limits to come come only after the last
         controller was brought over, whether or not all have been seen: no older one is left."""
         log.info("state limits have come value_kb=%g", self.lesser.value_kb)
-        self.begin_newer_format()
+        self.begin_format(RUNS_FORMAT)
 
-    def begin_newer_format(self) -> None:
-        if self.newer_format:
+    def begin_format(self, number: int) -> None:
+        """From now on records are written in this format; there is no way back."""
+        if self.record_format >= number:
             return
-        self.newer_format = True
-        log.info("records newer format begins")
-        nodes = max(self.settings.facts.nodes, 1)
-        self.state.expect_limits(self.lesser.rps / nodes, self.lesser.write_rps / nodes)
+        log.info("records newer format begins format=%d", number)
+        if not self.newer_format:
+            nodes = max(self.settings.facts.nodes, 1)
+            self.state.expect_limits(self.lesser.rps / nodes, self.lesser.write_rps / nodes)
+        self.record_format = number
 
     def answer(
         self, ticket: object, status: int, body: bytes = b"", retry_after: float | None = None
--- a/fallpulley/jobs/service.py
+++ b/fallpulley/jobs/service.py
@@ -328,14 +328,11 @@
         assigned = self.block_of_team(spec.crew)
         if assigned is not None:
             return assigned
+        if len(self.registry.blocks) == 1:
+            return next(iter(self.registry.blocks))
         best: tuple[float, str] | None = None
-        for label, (record, _) in self.registry.blocks.items():
-            size = sum(
-                self.registry.types[entry.build].cpus
-                for entry in record.machines.values()
-                if entry.build in self.registry.types
-            )
-            entry = (self.load(label) / max(size, 1.0), label)
+        for label in self.registry.blocks:
+            entry = (self.load(label) / max(self.registry.processors(label), 1.0), label)
             if best is None or entry < best:
                 best = entry
         return best[1] if best else None
--- a/fallpulley/placement/planner.py
+++ b/fallpulley/placement/planner.py
@@ -31,11 +31,11 @@
         self.ready_at = float("-inf")  # the next plan is made from then on
         self._replan_at = float("-inf")
 
-    def plan(self, held_blocks: dict[str, HeldBlock]) -> None:
-        """Plan the blocks that need it, if it is time."""
+    def plan(self, held_blocks: dict[str, HeldBlock]) -> bool:
+        """Plan the blocks that need it, if it is time; says whether any was."""
         now = self.core.now
         if now < self.ready_at:
-            return
+            return False
         replan = now >= self._replan_at
         began = self.core.clock()
         planned = [held for held in held_blocks.values() if held.dirty or replan]
@@ -43,6 +43,7 @@
             self._plan_one(held)
         if planned:
             self._space(self.core.clock() - began)
+        return bool(planned)
 
     def _plan_one(self, held: HeldBlock) -> None:
         held.dirty = False
--- a/fallpulley/shares/reconciler.py
+++ b/fallpulley/shares/reconciler.py
@@ -67,9 +67,7 @@
 
     def processors(self, label: str) -> float:
         """Of all machines in a block's record."""
-        record, _ = self.registry.blocks[label]
-        types = self.registry.types
-        return sum(types[m.build].cpus for m in record.machines.values() if m.build in types)
+        return self.registry.processors(label)
 
     def unmet(self, found: Targets) -> list[Move]:
         """Moves that some machine of their giver would serve."""
--- a/fallpulley/workers/checkins.py
+++ b/fallpulley/workers/checkins.py
@@ -70,7 +70,8 @@
         self.provider = provider
         self.held = held
         self.serving = serving
-        self.deferred: list[DeferredCheckin] = []
+        self.deferred: list[DeferredCheckin] = []  # in the order in which they came
+        self._arrived: list[DeferredCheckin] = []  # since the last answers
         self._parked: list[ParkedCheckin] = []
 
     def take(self, ticket: Any, body: bytes) -> None:
@@ -114,7 +115,7 @@
         if report.addr:
             self.writer.addresses[report.host] = report.addr
         until = self.core.now + DEFER_REPORTS * self.core.report_s
-        self.deferred.append(DeferredCheckin(ticket, held, machine, newer, until))
+        self._arrived.append(DeferredCheckin(ticket, held, machine, newer, until))
 
     def _redirect(self, ticket: Any, holder: str | None) -> None:
         if holder is None or holder == self.core.label:
@@ -151,16 +152,33 @@
 
     # -- answers ---------------------------------------------------------------------------
 
-    def answer_deferred(self) -> None:
-        """Answer the check-ins that need not wait any longer for a plan or a mark."""
-        deferred, self.deferred = self.deferred, []
-        for checkin in deferred:
+    def answer_deferred(self, look_again: bool) -> None:
+        """Answer the check-ins that need not wait any longer for a plan or a mark.
+
+        Between two plans and looks at marks those that waited before go on waiting until their
+        time is over: they came in that order.
+        """
+        if not look_again:
+            now = self.core.now
+            overdue = next((n for n, c in enumerate(self.deferred) if c.until > now), None)
+            self._answer_some(self.deferred[:overdue])
+            self.deferred = [] if overdue is None else self.deferred[overdue:]
+        else:
+            self._arrived, self.deferred = self.deferred + self._arrived, []
+        arrived, self._arrived = self._arrived, []
+        self.deferred += self._answer_some(arrived)
+
+    def _answer_some(self, checkins: list[DeferredCheckin]) -> list[DeferredCheckin]:
+        """Answer those that need not wait; returns the others."""
+        waiting = []
+        for checkin in checkins:
             if self._waits(checkin):
-                self.deferred.append(checkin)
+                waiting.append(checkin)
             elif self._may_answer(checkin):
                 self._answer(checkin)
             else:
                 self._refuse(checkin.ticket)
+        return waiting
 
     def _waits(self, checkin: DeferredCheckin) -> bool:
         machine = checkin.machine
@@ -211,7 +229,10 @@
                 or job.is_done(booking.index)
             ):
                 continue
-            orders.append(held.start(machine, job, booking, held.estimate(job)))
+            order = held.start(machine, job, booking, held.estimate(job))
+            if order is None:
+                break
+            orders.append(order)
             self._expect_image(held, machine, job.spec.kit, job.spec.size_gb)
         return orders
 
--- a/tests/test_day_end.py
+++ b/tests/test_day_end.py
@@ -137,7 +137,7 @@
     world.until(lambda: all(world.stage(uid) == "done" for uid in uids), 90.0)
     assert {host for _, _, host in world.starts_seen} == {good}
     held = next(iter(world.controllers[world.holder()].held.values()))
-    missed = held.counter - len(world.starts_seen)
+    missed = held.attempts.made - len(world.starts_seen)
     assert missed <= 2  # one reply's worth of orders, never another
     for n in range(10, 30):
         submit(world, n, pieces=2)
