Stories of records in parts; looks at the fleet's size are bounded after answers, too

Parts that are full in bytes get no further machine; a part that overflows is split, or left to the next change; addresses are left out only where one machine alone does not fit. tests/test_layout.py passes (8 tests, 4 s).

--- a/fallpulley/blocks/layout.py
+++ b/fallpulley/blocks/layout.py
@@ -13,13 +13,16 @@
 from fallpulley.blocks.messages import BlockRecord, Part, encode_part
 from fallpulley.blocks.packing import MachineEntry, Machines, without_addresses
 from fallpulley.blocks.registry import BLOCKS, part_key
-from fallpulley.state.client import Change
+from fallpulley.state.client import TXN_BYTES, Change
 
 # A record with more machines is laid out in parts: every controller decodes all of a value at each
 # of its changes, which takes 2 ms of a whole core for as many, and 20 ms on a tenth of one.
 WHOLE_MOST = 1024
-# Machines in one part at the most, and in how many a block's parts are merged again.
+# Machines in one part at the most.
 PART_MOST = 512
+# A part that fills this share of a value gets no further machine.
+FULL_PARTS = 0.7
+# A block with no more machines than this has them in its record again.
 MERGE_MOST = 256
 
 
@@ -70,9 +73,13 @@
 def _edit_whole(
     label: str, record: BlockRecord, stamp: int, wishes: Wishes, limits: RecordLimits
 ) -> Edit:
-    machines = {host: e for host, e in record.machines.items() if host not in set(wishes.remove)}
+    gone = set(wishes.remove)
+    machines = {host: entry for host, entry in record.machines.items() if host not in gone}
     added = list(wishes.add)
-    machines |= wishes.add
+    if limits.parts:
+        # One more than a whole record is to hold, and the next change lays it out in parts.
+        del added[max(0, WHOLE_MOST + 1 - len(machines)) :]
+    machines.update((host, wishes.add[host]) for host in added)
     update_entries(machines, wishes)
     value = _whole(record, machines, limits)
     if len(value) > limits.value_bytes and limits.parts and record.machines:
@@ -88,8 +95,12 @@
 
 
 def _whole(record: BlockRecord, machines: Machines, limits: RecordLimits) -> bytes:
+    """Addresses are left out for want of room only where parts cannot make it."""
     changed = BlockRecord(record.holder, record.boot, machines, record.earlier)
-    return changed.encode(limits.newer, limits.value_bytes)
+    value = changed.encode(limits.newer, TXN_BYTES if limits.parts else limits.value_bytes)
+    if len(value) > limits.value_bytes and len(machines) == 1:
+        value = changed.encode(limits.newer, limits.value_bytes)
+    return value
 
 
 def update_entries(machines: Machines, wishes: Wishes) -> None:
@@ -189,7 +200,8 @@
         if number is None:
             return None
         machines = self.touched.get(number)
-        if machines is None and len(self.touched) + 1 < self.limits.changes:
+        # One change is left for a part that has to be split.
+        if machines is None and len(self.touched) + 1 < max(2, self.limits.changes - 1):
             part = self.record.parts.get(number)
             machines = self.touched[number] = dict(part.machines) if part is not None else {}
         return machines
@@ -202,7 +214,9 @@
         free = [
             (len(part.machines), number)
             for number, part in self.record.parts.items()
-            if number not in self.touched and len(part.machines) < PART_MOST
+            if number not in self.touched
+            and len(part.machines) < PART_MOST
+            and part.size < FULL_PARTS * self.limits.value_bytes
         ]
         return max(free)[1] if free else self._new_number()
 
@@ -227,6 +241,8 @@
                 waiting += [number, new]
             elif self._drop_added(machines):
                 waiting.append(number)
+            elif len(self.touched) > 1:
+                self._leave(number)
 
     def _drop_added(self, machines: Machines) -> bool:
         added = [host for host in self.added if host in machines]
@@ -236,6 +252,13 @@
         self.added = [host for host in self.added if host not in dropped]
         return bool(dropped)
 
+    def _leave(self, number: int) -> None:
+        """Leave a part as it is; a later change has room to split it."""
+        del self.touched[number]
+        part = self.record.parts.get(number)
+        if part is not None:
+            self.removed = [host for host in self.removed if host not in part.machines]
+
     def _encode(self) -> Edit:
         parts = dict(self.record.parts)
         changes = []
--- a/fallpulley/blocks/messages.py
+++ b/fallpulley/blocks/messages.py
@@ -46,6 +46,7 @@
     # have the same, since a transaction on a stamp changes the record.
     version: int
     machines: Machines
+    size: int = 0  # bytes of the value that it was read from
 
 
 class BlockRecord(msgspec.Struct):
@@ -139,7 +140,7 @@
 def decode_part(value: bytes) -> Part:
     """Raises `msgspec.MsgspecError` when broken."""
     wire = msgspec.json.decode(value, type=_PartWire)
-    return Part(wire.version, unpack_runs(wire.runs))
+    return Part(wire.version, unpack_runs(wire.runs), len(value))
 
 
 class Retired(msgspec.Struct, omit_defaults=True):
--- a/fallpulley/fleet/autoscaler.py
+++ b/fallpulley/fleet/autoscaler.py
@@ -20,6 +20,9 @@
 SIZING_S = 1.0  # between two looks at the fleet: far below any boot time
 # What a look took is to be so small a part of the time between two, up to a tenth of a boot time.
 SIZING_SHARE, SIZING_BOOTS = 1 / 50, 0.1
+# The same where the cloud has just answered: while thousands of machines are rented it does so
+# several times a second, and each look is at all of them.
+ANSWERED_SHARE = 1 / 5
 # A machine that is not up after so many boot times is not counted on; after twice as many
 # it goes back. Some take several times as long, a few never come.
 LATE_BOOTS = 2.0
@@ -67,7 +70,8 @@
         # A partly filled rental is followed at once by one of the next kind.
         last = self._last.get(held.label, float("-inf"))
         wait_s = self._wait_s.get(held.label, SIZING_S)
-        if now < last + wait_s and self.provider.answered_at <= last:
+        answered = self.provider.answered_at > last
+        if now < last + (wait_s * SIZING_SHARE / ANSWERED_SHARE if answered else wait_s):
             return []
         self._last[held.label] = now
         began = self.core.clock()
--- a/tests/world.py
+++ b/tests/world.py
@@ -203,7 +203,8 @@
 class Worker:
     def __init__(self, world: World, host: str, zone: str, spot: bool) -> None:
         self.world, self.host, self.zone, self.spot = world, host, zone, spot
-        self.addr = f"10.1.0.{int(host[3:])}:9"
+        number = int(host[3:])
+        self.addr = f"10.1.{number >> 8}.{number & 255}:9"
         self.shift, self.tick, self.baton = 1, 0, 0
         self.pieces: dict[str, dict[str, Any]] = {}
         self.node = 0
@@ -264,7 +265,7 @@
         if self.waiting is None and now >= self.next_at:
             self._number += 1
             self.waiting = (now, self._number)
-            self.next_at = now + 1.0
+            self.next_at = now + self.world.report_s
             self.reported = max(self.reported, self.baton)
             self.world.check_in(self, LABELS[self.node], self._number, self.shift)
 
@@ -315,6 +316,8 @@
         for order in orders:
             name, piece = order["piece"], self.pieces.get(order["piece"])
             same = piece is not None and piece["try"] == order["try"]
+            if order["verb"] == "run":
+                self.world.had.setdefault(name, set()).add(self.host)
             if order["verb"] == "run" and piece is None:
                 self.pieces[name] = {"try": order["try"], "stage": "pulling", "ready": now + 0.5}
                 self.world.check_room(self)
@@ -333,7 +336,9 @@
 class World:
     """Three controllers and all that they talk to."""
 
+    report_s = 1.0
     lease_s = 8.0
+    cancel_s = 30.0
 
     def __init__(
         self,
@@ -344,9 +349,13 @@
     ) -> None:
         self.facts = facts
         self.operators = operators
+        for name, value in facts.get("workers", {}).items():
+            setattr(self, name, value)
         self.now = 100.0
         self.state = StateService()
         self.workers: dict[str, Worker] = {}
+        self.by_addr: dict[str, Worker] = {}
+        self.had: dict[str, set[str]] = {}  # task -> machines that were ever told to run it
         self.released: list[str] = []
         self.hires: dict[str, list[str]] = {}
         self.capacity = 6
@@ -362,6 +371,7 @@
         self.errors: dict[str, str] = {}  # host -> cause of every end there
         self.starts_seen: list[tuple[float, str, str]] = []
         self.cloud_down = False
+        self.listings = 0  # pages of the cloud's list
         self.deaf: set[str] = set()  # hosts whose reports arrive, but nothing reaches them
         self.sent: dict[str, list[bytes]] = {}  # host -> bodies of its check-ins
         self.mute: set[str] = set()  # hosts whose reports arrive nowhere, though commands do
@@ -392,7 +402,8 @@
     def machine(self, zone: str, spot: bool) -> str:
         self._vm += 1
         host = f"vm-{self._vm:06d}"
-        self.workers[host] = Worker(self, host, zone, spot)
+        self.workers[host] = worker = Worker(self, host, zone, spot)
+        self.by_addr[worker.addr] = worker
         return host
 
     def boot(
@@ -426,17 +437,20 @@
 
     def starts(self, piece: str, worker: Worker) -> None:
         self.starts_seen.append((self.now, piece, worker.host))
-        for other in self.workers.values():
-            if other is not worker and piece in other.on_machine():
+        for host in self.had.get(piece, ()):
+            other = self.workers.get(host)
+            if other is not None and other is not worker and piece in other.on_machine():
                 self.broken.append(f"{self.now:.2f} {piece} on {other.host} and {worker.host}")
         uid = piece.partition("/")[0]
         spec = self.specs.get(uid, {})
-        rest = [
-            other.zone
-            for other in self.workers.values()
-            for name in other.on_machine()
-            if name.startswith(uid + "/") and name != piece
-        ]
+        rest = []
+        if spec.get("one_zone") or spec.get("apart"):
+            rest = [
+                other.zone
+                for other in self.workers.values()
+                for name in other.on_machine()
+                if name.startswith(uid + "/") and name != piece
+            ]
         if spec.get("one_zone") and any(zone != worker.zone for zone in rest):
             self.broken.append(f"{self.now:.2f} {piece} starts in {worker.zone}, others in {rest}")
         if spec.get("apart") and rest.count(worker.zone) + 1 > (spec["pieces"] + 1) // 2:
@@ -445,7 +459,7 @@
             if self.stage(awaited) != "done":
                 self.broken.append(f"{self.now:.2f} {piece} starts before {awaited} is done")
         told = self.cancelled_at.get(uid)
-        if told is not None and self.now > told + 30.0:
+        if told is not None and self.now > told + self.cancel_s:
             self.broken.append(f"{self.now:.2f} {piece} starts after its cancel")
 
     def check_room(self, worker: Worker) -> None:
@@ -589,7 +603,9 @@
         self.later.append((self.now + STEP + self.slow_s, look))
 
     def _to_worker(self, label: str, call: Call, back: Callable[[int | None, bytes], None]) -> None:
-        worker = next((w for w in self.workers.values() if w.addr == call.address), None)
+        worker = self.by_addr.get(call.address)
+        if worker is not None and worker.host not in self.workers:
+            worker = None  # released
         gone = worker is None or worker.hung or worker.host in self.deaf | self.no_direct
         if worker is None or gone or self.blocked(worker.host, label):
             self.later.append((self.now + call.timeout_s, lambda: back(None, b"")))
@@ -615,7 +631,12 @@
                 }
                 for w in self.workers.values()
             ]
-            return 200, {"hosts": sorted(hosts, key=lambda h: str(h["uid"])), "has_next": False}
+            args = dict(part.partition("=")[::2] for part in call.path.partition("?")[2].split("&"))
+            self.listings += 1
+            hosts.sort(key=lambda h: str(h["uid"]))
+            hosts = [h for h in hosts if str(h["uid"]) > args.get("after", "")]
+            page = int(args["page"])
+            return 200, {"hosts": hosts[:page], "has_next": len(hosts) > page}
         if call.path == "/rentals/release":
             for host in body["hosts"]:
                 if self.workers.pop(host, None) is not None:
@@ -623,6 +644,7 @@
             return 200, {}
         if body["hire"] in self.hires:
             return 200, {"hosts": self.hires[body["hire"]]}
+        assert body["number"] <= 50
         count = min(body["number"], self.capacity - len(self.workers))
         if count <= 0:
             return 503, {"error": "no capacity"}
@@ -652,7 +674,7 @@
                 else:
                     self._call(label, effect)
         for told, at in self.cancelled_at.items():
-            if self.now > at + 30.0 and any(
+            if self.now > at + self.cancel_s and any(
                 name.startswith(told + "/")
                 for worker in self.workers.values()
                 for name in worker.on_machine()
