--- a/fallpulley/serve.py
+++ b/fallpulley/serve.py
@@ -10,7 +10,16 @@
 import anyio
 
 from fallpulley.controller import Controller
-from fallpulley.effects import Answer, Call, Command, OperatorRequest, PeerMessage, Request, Result
+from fallpulley.effects import (
+    Answer,
+    Call,
+    Command,
+    Effect,
+    OperatorRequest,
+    PeerMessage,
+    Request,
+    Result,
+)
 from fallpulley.settings import CALL_SHARE, MESH_SHARE, SERVE_SHARE, Settings
 from fallpulley.wire.client import Client
 from fallpulley.wire.limit import AdaptiveLimit
@@ -26,6 +35,8 @@
 # Of the memory, what one answer may take: the changes of a long gap have no limit, and reading all
 # keys again by pages costs less than an end for memory.
 ANSWER_SHARE = 0.125
+# A step that takes longer is told: meanwhile nobody is answered.
+SLOW_STEP_S = 0.5
 # How often connections that were idle for long are closed.
 SWEEP_S = 5.0
 
@@ -92,12 +103,20 @@
             self._awake = False
             batch = list(self._commands)
             self._commands.clear()
-            for effect in self.controller.step(batch, time.monotonic(), time.time()):
+            for effect in self._step(batch):
                 if isinstance(effect, Answer):
                     effect.ticket.settle(effect.status, effect.body, effect.retry_after)
                 else:
                     self._call(client, effect)
 
+    def _step(self, batch: list[Command]) -> list[Effect]:
+        began = time.monotonic()
+        effects = self.controller.step(batch, began, time.time())
+        took_s = time.monotonic() - began
+        if took_s > SLOW_STEP_S:
+            log.info("slow step s=%.2f commands=%d", took_s, len(batch))
+        return effects
+
     def _call(self, client: Client, call: Call) -> None:
         sent_at = time.monotonic()
 
--- a/tests/loopback/deployment.py
+++ b/tests/loopback/deployment.py
@@ -35,7 +35,7 @@
 [[facts.teams]]
 name = "lookup"
 [facts.workers]
-report_s = 1.0
+report_s = {report_s}
 lease_s = {lease_s}
 cancel_s = {cancel_s}
 [facts.state]
@@ -47,7 +47,7 @@
 rps = 10.0
 list_lag_s = 1.0
 [facts.machine_limits]
-sockets = 2000
+sockets = {sockets}
 """
 SEED = '[[seeds]]\nlabel = "{label}"\nsite = "a"\naddress = "{mesh}"\n'
 
@@ -68,12 +68,22 @@
 class Deployment:
     """The processes, by label."""
 
-    def __init__(self, folder: pathlib.Path, machines: int, lease_s: float, operators: str) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        machines: int,
+        lease_s: float,
+        operators: str,
+        report_s: float = 1.0,
+        sockets: int = 2000,
+    ) -> None:
         self.folder = folder
+        self.report_s = report_s
+        self.sockets = sockets
         port = free_port()
         self.serve = {label: f"127.0.1.{at}:{port}" for at, label in enumerate(LABELS, 1)}
         self.mesh = {label: f"127.0.2.{at}:{port}" for at, label in enumerate(LABELS, 1)}
-        self.world = LoopbackWorld(machines, lease_s, self.serve, port)
+        self.world = LoopbackWorld(machines, lease_s, self.serve, port, report_s)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         for label in LABELS:
             self._write(label, lease_s, operators)
@@ -91,6 +101,8 @@
             ),
             cloud=self.world.cloud_address,
             state=self.world.state_address,
+            report_s=self.report_s,
+            sockets=self.sockets,
             lease_s=lease_s,
             cancel_s=2.5 * lease_s,
         )
@@ -143,10 +155,15 @@
 
 @asynccontextmanager
 async def running(
-    folder: pathlib.Path, machines: int, lease_s: float, operators: str
+    folder: pathlib.Path,
+    machines: int,
+    lease_s: float,
+    operators: str,
+    report_s: float = 1.0,
+    sockets: int = 2000,
 ) -> AsyncIterator[Deployment]:
     """A deployment whose controllers are up and whose machines report."""
-    deployment = Deployment(folder, machines, lease_s, operators)
+    deployment = Deployment(folder, machines, lease_s, operators, report_s, sockets)
     async with anyio.create_task_group() as tasks:
         await deployment.world.serve(tasks)
         try:
@@ -156,7 +173,7 @@
             await deployment.until(lambda: bool(world.blocks()), 30.0, "a block is held")
             await deployment.until(
                 lambda: all(worker.baton > 0 for worker in world.workers.values()),
-                60.0,
+                60.0 + 10.0 * report_s,
                 "all machines have a token",
             )
             yield deployment
--- a/tests/loopback/standins.py
+++ b/tests/loopback/standins.py
@@ -19,19 +19,28 @@
 
 ACT_S = 0.05  # workers act, and leases end, so often
 REPORT_TIMEOUT_S = 4.0
-SOCKETS = 4000
+SOCKETS = 30_000
 
 
 class LoopbackWorld(World):
     """Time is real, and what the simulated world hands over directly goes through sockets."""
 
-    def __init__(self, machines: int, lease_s: float, nodes: dict[str, str], port: int) -> None:
+    def __init__(
+        self,
+        machines: int,
+        lease_s: float,
+        nodes: dict[str, str],
+        port: int,
+        report_s: float = 1.0,
+    ) -> None:
         self.port = port
         self.lease_s = lease_s
+        self.report_s = report_s
         self.nodes = nodes  # label -> address for users and workers
         self.state_address = f"127.0.0.1:{port}"
         self.cloud_address = f"127.0.0.1:{port + 1}"
         self.client: Client | None = None
+        self.check_ins = 0
         self.watches: list[tuple[Request, str, int, float]] = []
         self.placed: list[tuple[float, int, str]] = []  # when, under which token, where
         super().__init__(0, start=False)
@@ -52,8 +61,9 @@
         number = int(host[3:])
         worker = self.workers[host]
         worker.addr = f"127.1.{number // 200}.{number % 200 + 1}:{self.port}"
+        self.by_addr[worker.addr] = worker
         # Reports of a fleet do not come all at once.
-        worker.next_at = self.now + (number % 20) / 20
+        worker.next_at = self.now + self.report_s * (number % 997) / 997
         return host
 
     def duration(self, piece: str) -> float:
@@ -73,6 +83,7 @@
                 worker.turn(1.0)
 
         assert self.client is not None
+        self.check_ins += 1
         body = json.dumps(worker.report()).encode()
         self.client.call(self.nodes[label], "POST", "/checkin", body, REPORT_TIMEOUT_S, answered)
 
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,236 @@
+"""Stories of 4,500 machines: more than any fixed limit once stood for."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from fallpulley.blocks.attempts import AttemptNumbers
+from fallpulley.blocks.fencing import Fencing
+from fallpulley.blocks.shares import machines_per_block
+from fallpulley.blocks.silence import LeaseWatch
+from fallpulley.effects import ANSWER_TOO_LONG
+from fallpulley.mesh.counts import CountsInTurn
+from fallpulley.wire.server import BODY_MOST
+from tests.world import LABELS, STATE, World, job, settings
+
+MACHINES = 4500
+REPORT_S = 10.0
+STEP_S = 0.1
+TASK_S = 60.0
+FACTS: dict[str, Any] = {
+    "workers": {"report_s": REPORT_S, "lease_s": 40.0, "cancel_s": 150.0},
+    "teams": [{"name": "crew"}],
+    "machine_limits": {"core_share": 1.0, "memory_mb": 400.0, "sockets": 6000},
+}
+SMALLEST = {"value_kb": 2.0, "txn_ops": 4}
+STATE_FACTS: dict[str, Any] = {"rps": 200.0, "write_rps": 90.0, "value_kb": 16.0, "txn_ops": 16}
+
+
+def large(state: dict[str, Any] | None = None, older: str = "", **over: Any) -> World:
+    """Nothing is there yet, and the cloud has 4,500 machines to give."""
+    world = World(0, start=False, state=STATE_FACTS | (state or {}), **FACTS | over)
+    for label in LABELS:
+        world.boot(label, older=label == older)
+    world.step_s = STEP_S
+    world.capacity = MACHINES
+    world.run(2.0)
+    return world
+
+
+def fill(world: World, pieces: int, jobs: int = 9) -> list[str]:
+    """Work for two tasks a machine."""
+    uids = []
+    for number in range(jobs):
+        spec = job(number, pieces=pieces, expect_s=TASK_S, size_gb=0.1)
+        world.times[spec["uid"]] = TASK_S
+        world.ask(LABELS[number % 3], "POST", "/work", spec)
+        uids.append(spec["uid"])
+    return uids
+
+
+def machine_parts(world: World) -> list[str]:
+    return [key for key in world.state.data if key.startswith("live/machines/")]
+
+
+def confirmed(world: World) -> bool:
+    """Every machine of every block has shown its holder's token, or is proved empty."""
+    held = [h for controller in world.controllers.values() for h in controller.held.values()]
+    return bool(held) and all(not block.unproven and block.loaded for block in held)
+
+
+@pytest.mark.parametrize("limits", [{}, SMALLEST])
+def test_rented_filled_and_taken_over_nothing_starts_twice(limits: dict[str, Any]) -> None:
+    """Under the smallest values and transactions a site gives, and under ordinary ones."""
+    world = large(limits)
+    world.state.value_bytes = 2048 if limits else 16 * 1024
+    world.state.txn_ops = 4 if limits else 16
+    fill(world, pieces=1000)
+    world.until(lambda: len(world.running()) == 2 * MACHINES, 60.0)
+    assert len(world.workers) == MACHINES and len(world.blocks()) == 1 and machine_parts(world)
+    assert world.state.refusals == 0
+    # The takeover is one write of the block's record, however many machines it has.
+    ledger, holder = world.state.ledger, world.holder()
+    world.crash(holder)
+    world.until(lambda: world.holder() != holder, 20.0)
+    (key,) = world.blocks()
+    changed = [e["set"] for e in world.state.log if e["stamp"] > ledger and "set" in e]
+    assert changed.count(key) == 1 and not any("live/machines/" in name for name in changed)
+    world.until(lambda: confirmed(world), 2.5 * REPORT_S)
+    assert len(world.running()) == len(world.starts_seen) == 2 * MACHINES
+    (held,) = world.controllers[world.holder()].held.values()
+    assert sum(1 for _ in held.runs()) == 2 * MACHINES
+
+
+def test_all_controllers_end_at_full_size_and_come_back_within_a_second() -> None:
+    world = large()
+    uids = fill(world, pieces=1000)
+    world.until(lambda: len(world.running()) == 2 * MACHINES, 60.0)
+    world.crash(*LABELS)
+    world.run(0.8)
+    for label in LABELS:
+        world.boot(label)
+    world.until(lambda: confirmed(world), 4 * REPORT_S)
+    assert len(world.starts_seen) == 2 * MACHINES
+    world.until(lambda: all(world.stage(uid) == "done" for uid in uids), TASK_S + 6 * REPORT_S)
+    assert len(world.starts_seen) == 2 * MACHINES
+
+
+def test_a_zone_back_after_a_cut_longer_than_a_lease_and_the_holder_ends_meanwhile() -> None:
+    """Machines that answered nothing stood in front of the others: these were never asked."""
+    world = large()
+    fill(world, pieces=1000)
+    world.until(lambda: len(world.running()) == 2 * MACHINES, 60.0)
+    lost = [worker.host for worker in world.workers.values() if worker.zone == "a"]
+    assert len(lost) == MACHINES // 2
+    world.cut |= {(host, label) for host in lost for label in LABELS}
+    world.crash(world.holder())
+    asked: set[str] = set()
+    whole_turn = False
+    until = world.now + 45.0
+    while world.now < until:
+        world.step()
+        for controller in world.controllers.values():
+            for held in controller.held.values():
+                asked |= {h for h, m in held.machines.items() if m.fence_at > 0}
+                whole_turn = whole_turn or set(lost) <= asked
+    assert whole_turn
+    world.cut.clear()
+    world.until(lambda: confirmed(world), 200.0)
+
+
+def test_limits_to_come_while_the_records_are_largest_and_an_older_version_is_there() -> None:
+    """Nothing is written that the older version misreads; the limits' coming refuses no write."""
+    to_come = {"next": {"value_kb": 2.0, "txn_ops": 4}}
+    world = large(to_come, older="node-2")
+    world.capacity = 2400
+    fill(world, pieces=800, jobs=6)
+    world.until(lambda: len(world.running()) == 4800, 60.0)
+    assert not machine_parts(world) and "live/format" not in world.state.data
+    world.crash("node-2")
+    world.boot("node-2")
+    world.until(lambda: "live/format" in world.state.data, 20.0)
+    world.until(lambda: all(c.core.parts_format for c in world.controllers.values()), 5.0)
+    world.run(10.0)
+    world.state.value_bytes, world.state.txn_ops = 2048, 4
+    refused = world.state.refusals
+    world.capacity = MACHINES
+    fill(world, pieces=1000)
+    world.run(30.0)
+    world.crash(world.controllers and next(iter(world.controllers)))
+    world.until(lambda: confirmed(world), 4 * REPORT_S)
+    assert len(world.workers) == MACHINES and machine_parts(world)
+    assert world.state.refusals == refused
+
+
+def test_one_kind_sold_out_leaves_the_other_zone_and_the_list_comes_to_its_end() -> None:
+    """With ten pages a list once asked for more calls than there were, and never ended."""
+    world = large(cloud={"rps": 2.0, "list_lag_s": 1.0})
+    for _ in range(MACHINES):  # rented by nobody that is known: the list alone tells of them
+        world.machine("a", spot=True)
+    for worker in world.workers.values():
+        worker.hung = True
+    leader = next(c for c in world.controllers.values() if c.leadership.term is not None)
+    world.until(lambda: len(leader.provider.listed) == MACHINES, 30.0)
+    assert world.listings >= MACHINES // 500
+    world.until(lambda: len(leader.registry.host_block) == MACHINES, 30.0)
+
+
+# -- parts by themselves ---------------------------------------------------------------------
+
+
+def test_attempts_go_on_from_a_newer_stamp_before_the_counter_is_used_up() -> None:
+    """At 4,000 machines four million attempts are a few hours; the counter then ran over into
+    numbers that a later holder may make."""
+    numbers = AttemptNumbers(100, bits=3)
+    found = [numbers.next(100) for _ in range(7)]
+    assert found == [(100 << 3) + n for n in range(1, 8)]
+    assert numbers.wants_stamp and numbers.next(100) is None
+    again = [numbers.next(stamp) for stamp in (130, 131, 132)]
+    assert again == [(130 << 3) + n for n in range(1, 4)]
+    assert numbers.first == 100 << 3
+
+
+def test_a_lease_is_looked_at_once_a_lease_not_at_every_tick() -> None:
+    watch = LeaseWatch()
+    for number in range(MACHINES):
+        watch.watch(f"m{number}", 10.0 + number / MACHINES)
+    looks = 0
+    for tick in range(150):
+        now = tick / 10
+        for host in watch.due(now):
+            looks += 1
+            watch.watch(host, now + 10.0)
+    assert looks == MACHINES
+    assert watch.due(10.0) == []
+
+
+def test_counts_of_any_number_of_jobs_go_out_in_bodies_that_are_taken() -> None:
+    """A heartbeat that named 3,000 jobs was longer than a body may be, and refused: its sender
+    counted as gone."""
+    counts = {f"job-{n:06d}": (n, n) for n in range(3000)}
+    turn = CountsInTurn()
+    told: set[str] = set()
+    for beat in range(4):
+        counts["job-002999"] = (beat, 1)
+        entries = turn.choose(counts)
+        assert sum(len(str(entry)) for entry in entries) < BODY_MOST
+        told |= {job for job, _, _ in entries}
+    assert len(told) == 3000
+    counts["job-002999"] = (9, 9)
+    assert ("job-002999", 9, 9) in turn.choose(counts)
+
+
+def test_changes_too_many_for_one_answer_are_read_anew_by_pages() -> None:
+    world = World(2)
+    world.run(3.0)
+    controller = world.controllers["node-1"]
+    assert controller.view.ready
+    (call,) = [c for c in pending_watches(world, "node-1")][:1]
+    call.done(ANSWER_TOO_LONG, b"", world.now)
+    assert not controller.view.loaded
+    world.until(lambda: controller.view.ready, 5.0)
+    assert controller.view.ledger == world.state.ledger
+
+
+def pending_watches(world: World, label: str) -> list[Any]:
+    """A look at the changes that this controller is about to send."""
+    controller = world.controllers[label]
+    controller.view._polling = False
+    controller.view._poll(world.now)
+    controller.core.state.pump(world.now)
+    effects, controller.core.effects[:] = list(controller.core.effects), []
+    return [e for e in effects if getattr(e, "address", "") == STATE]
+
+
+def test_a_holder_carries_no_more_machines_than_it_has_sockets() -> None:
+    limits = {"core_share": 1.0, "memory_mb": 400.0, "sockets": 1500}
+    assert machines_per_block(settings("node-0", machine_limits=limits).facts) == 1500
+
+
+def test_fences_take_their_part_of_the_sockets() -> None:
+    world = large()
+    world.until(lambda: bool(world.controllers[world.holder()].held), 5.0)
+    (held,) = world.controllers[world.holder()].held.values()
+    assert isinstance(held.fencing, Fencing) and held.fencing.most == 240
--- a/tests/world.py
+++ b/tests/world.py
@@ -336,6 +336,7 @@
 class World:
     """Three controllers and all that they talk to."""
 
+    step_s = STEP
     report_s = 1.0
     lease_s = 8.0
     cancel_s = 30.0
@@ -523,7 +524,7 @@
             elif call.path.startswith("/changes") and not self.state.down:
                 self._watch(label, call, back)
             elif label in self.refused:
-                self.later.append((self.now + STEP, lambda: back(503, b"")))
+                self.later.append((self.now + self.step_s, lambda: back(503, b"")))
             elif call.path == "/txn" and label in self.unanswered:
                 self.later.append((self.now + call.timeout_s, lambda: back(None, b"")))
                 late_s = self.unanswered[label]
@@ -533,14 +534,14 @@
                     self.later.append((self.now + late_s, lambda: self._carry_out(call)))
             else:
                 status, answer = self.state.handle(call.method, call.path, call.body, self.now)
-                wait_s = STEP + self.slow_s
+                wait_s = self.step_s + self.slow_s
                 if wait_s > call.timeout_s:
                     self.later.append((self.now + call.timeout_s, lambda: back(None, b"")))
                 else:
                     self.later.append((self.now + wait_s, lambda: back(status, _json(answer))))
         elif call.address == CLOUD:
             status, answer = self._cloud(call)
-            self.later.append((self.now + STEP, lambda: back(status, _json(answer))))
+            self.later.append((self.now + self.step_s, lambda: back(status, _json(answer))))
         elif call.path == "/beat":
             other = LABELS[int(call.address.split(":")[0].rpartition(".")[2])]
             if other in self.controllers and not self.blocked(label, other):
@@ -589,7 +590,7 @@
                 return
             away = self.state.down or label in self.refused
             if away and self.now < until:
-                self.later.append((self.now + STEP, look))
+                self.later.append((self.now + self.step_s, look))
                 return
             if away:
                 back(503, b"")
@@ -598,9 +599,9 @@
             if news["news"] or self.now >= until:
                 back(200, _json(news))
             else:
-                self.later.append((self.now + STEP, look))
+                self.later.append((self.now + self.step_s, look))
 
-        self.later.append((self.now + STEP + self.slow_s, look))
+        self.later.append((self.now + self.step_s + self.slow_s, look))
 
     def _to_worker(self, label: str, call: Call, back: Callable[[int | None, bytes], None]) -> None:
         worker = self.by_addr.get(call.address)
@@ -611,7 +612,7 @@
             self.later.append((self.now + call.timeout_s, lambda: back(None, b"")))
             return
         status, answer = worker.direct(json.loads(call.body or b"{}"))
-        self.later.append((self.now + STEP, lambda: back(status, _json(answer))))
+        self.later.append((self.now + self.step_s, lambda: back(status, _json(answer))))
 
     def _cloud(self, call: Call) -> tuple[int, Any]:
         body = json.loads(call.body) if call.body else {}
@@ -655,7 +656,7 @@
     # -- time ------------------------------------------------------------------------------
 
     def step(self) -> None:
-        self.now += STEP
+        self.now += self.step_s
         self.state.expire(self.now)
         due = [act for at, act in self.later if at <= self.now]
         self.later = [(at, act) for at, act in self.later if at > self.now]
@@ -699,11 +700,11 @@
                 self.broken.append(f"{self.now:.2f} {limited['name']} uses {used} of {most}")
 
     def run(self, seconds: float) -> None:
-        for _ in range(round(seconds / STEP)):
+        for _ in range(round(seconds / self.step_s)):
             self.step()
 
     def until(self, met: Callable[[], bool], within_s: float) -> None:
-        for _ in range(round(within_s / STEP)):
+        for _ in range(round(within_s / self.step_s)):
             if met():
                 return
             self.step()
