--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -234,3 +234,28 @@
     world.until(lambda: bool(world.controllers[world.holder()].held), 5.0)
     (held,) = world.controllers[world.holder()].held.values()
     assert isinstance(held.fencing, Fencing) and held.fencing.most == 240
+
+
+def test_blocks_are_shared_out_many_machines_at_a_time() -> None:
+    """One machine a second, thousands would have taken most of an hour."""
+    limits = {"core_share": 1.0, "memory_mb": 400.0, "sockets": 200}
+    world = World(400, operators={"idle_boots": 50.0}, machine_limits=limits)
+    world.capacity = 400
+
+    def sizes() -> list[int]:
+        registry = next(iter(world.controllers.values())).registry
+        return sorted(len(record.machines) for record, _ in registry.blocks.values())
+
+    world.until(lambda: len(sizes()) == 2 and sum(sizes()) == 400, 20.0)
+    world.until(lambda: sizes()[0] >= 190, 40.0)
+    assert sum(sizes()) == 400 and len(world.workers) == 400
+
+
+def test_machines_with_the_longest_names_are_released_within_the_smallest_values() -> None:
+    world = World(2, state=STATE_FACTS | {"next": SMALLEST})
+    world.run(5.0)
+    writer = world.controllers[world.holder()].writer
+    hosts = {f"{number:0190}" for number in range(100)}
+    out = writer._retirable(hosts)
+    (change,) = writer._retire(out)
+    assert out and set(out) < hosts and len(change.value or b"") < 0.5 * 2048
