--- a/fallpulley/standby/stream.py
+++ b/fallpulley/standby/stream.py
@@ -169,11 +169,21 @@
 
     def _pause_s(self, position: Position) -> float:
         if not position.waiting:
+            if self._behind(position):
+                return 0.0
             idle = not position.parts and position.last == self.log.last
             return (IDLE_BATCHES if idle else 1.0) * self.limits.batch_s
         batches = RESEND_BATCHES if position.answered else SILENT_BATCHES
         return batches * self.limits.batch_s
 
+    def _behind(self, position: Position) -> bool:
+        """More waits than a message holds: the next one follows as soon as the last has come,
+        within the bound on bytes. At one message an interval, a fleet of thousands decided more
+        than the stream carried, and its snapshots were out of date before their last part."""
+        if position.parts:
+            return position.next_part > 0
+        return 0 <= position.last < self.log.last - BATCH_ENTRIES
+
     def _next(self, position: Position) -> LogBatch | SnapshotPart:
         if position.parts:
             return self._part(position)
@@ -222,9 +232,11 @@
             self._part_acknowledged(position, answer.snapshot_part)
 
     def _log_acknowledged(self, position: Position, last: int) -> None:
-        if position.parts and last < position.parts_last:
+        if position.parts and last < position.parts_last and not position.next_part:
             return  # from before the snapshot that is under way
         position.answered, position.waiting = True, False
+        # Also where parts of a snapshot have come: the follower has given them up, for they were of
+        # another one. The same part was once sent again and again, and never wanted.
         position.parts = []
         position.last = max(position.last, last)
         if position.last + 1 < self.log.first:
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -33,7 +33,7 @@
     pack,
     unpack,
 )
-from fallpulley.standby.replica import GapError, Replica, Snapshot, apply
+from fallpulley.standby.replica import GapError, MachineCopy, Replica, Snapshot, apply
 from fallpulley.standby.service import Standby
 from tests.test_edges import GOOD
 from tests.test_stories import others, ready, submit
@@ -159,6 +159,26 @@
     assert on_machines(followed.replica) == on_machines(Replica("block", 20, 0, state[0]))
 
 
+def test_a_holder_that_decides_two_thousand_things_a_second_is_followed() -> None:
+    """At one message of 500 entries an interval the follower never had a replica."""
+    stream, state = stream_over("block", token=20, most=10_000)
+    machines = {f"m{number}": MachineCopy(True, True, {}, {}) for number in range(30)}
+    state[0] = Snapshot(machines)
+    follower = Follower("node-1", lambda block: None)
+    number = 0
+    for step in range(400):
+        now = step * 0.05
+        for _ in range(100):
+            number += 1
+            stream.log._append(Started("m0", f"job-000001/{number}", number))
+        for _, message in stream.due(now):
+            answer = follower.take(message, now)
+            assert isinstance(answer, Acknowledgement)
+            stream.acknowledged(answer)
+    followed = follower.blocks["block"]
+    assert followed.replica is not None and stream.lags()["node-1"] <= 1000
+
+
 def stream_over(block: str, token: int, most: int) -> tuple[stream_module.BlockStream, list[Any]]:
     """A holder's stream of which the state is kept beside it, as its snapshots are made of."""
     state = [Snapshot()]
