With several blocks a job goes where it has machines; a list ends under any rate of calls

Change: the block is chosen by work for each processor that the job may use. Pages of the list asked for more saved-up calls than a rate below 1.3 a second can save.

--- a/fallpulley/blocks/layout.py
+++ b/fallpulley/blocks/layout.py
@@ -20,8 +20,6 @@
 WHOLE_MOST = 1024
 # Machines in one part at the most.
 PART_MOST = 512
-# A part that fills this share of a value gets no further machine.
-FULL_PARTS = 0.7
 # A block with no more machines than this has them in its record again.
 MERGE_MOST = 256
 
@@ -214,9 +212,7 @@
         free = [
             (len(part.machines), number)
             for number, part in self.record.parts.items()
-            if number not in self.touched
-            and len(part.machines) < PART_MOST
-            and part.size < FULL_PARTS * self.limits.value_bytes
+            if number not in self.touched and len(part.machines) < PART_MOST
         ]
         return max(free)[1] if free else self._new_number()
 
--- a/fallpulley/blocks/messages.py
+++ b/fallpulley/blocks/messages.py
@@ -46,7 +46,6 @@
     # have the same, since a transaction on a stamp changes the record.
     version: int
     machines: Machines
-    size: int = 0  # bytes of the value that it was read from
 
 
 class BlockRecord(msgspec.Struct):
@@ -140,7 +139,7 @@
 def decode_part(value: bytes) -> Part:
     """Raises `msgspec.MsgspecError` when broken."""
     wire = msgspec.json.decode(value, type=_PartWire)
-    return Part(wire.version, unpack_runs(wire.runs), len(value))
+    return Part(wire.version, unpack_runs(wire.runs))
 
 
 class Retired(msgspec.Struct, omit_defaults=True):
--- a/fallpulley/blocks/registry.py
+++ b/fallpulley/blocks/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from typing import TypeVar
 
 import msgspec
@@ -33,6 +34,7 @@
 PARTS = "live/machines/"
 
 T = TypeVar("T")
+Kind = tuple[str, str, bool]  # type, zone, spot
 
 
 def part_key(label: str, number: int) -> str:
@@ -58,7 +60,7 @@
         self.host_block: dict[str, str] = {}
         self._heads: dict[str, tuple[BlockHead, int]] = {}  # with parts, and their stamps
         self._parts: dict[str, dict[int, Part]] = {}  # block -> its parts as last seen
-        self._processors: dict[str, tuple[int, float]] = {}  # block -> stamp and sum
+        self._kinds: dict[str, tuple[int, dict[Kind, float]]] = {}  # by block, with its stamp
         self.homes: dict[str, str] = {}
         self.retired: dict[str, str] = {}  # machine to be released -> its record's key
         self.retiring: dict[str, list[str]] = {}  # key -> its machines
@@ -110,7 +112,7 @@
             catalog = _decode(value, Catalog)
             if catalog is not None:
                 self.types = {kind.label: kind for kind in catalog.builds}
-                self._processors.clear()
+                self._kinds.clear()
 
     def _on_head(self, label: str, value: bytes | None, stamp: int) -> str | None:
         self.filled[label] = len(value or b"")
@@ -184,13 +186,21 @@
 
     def processors(self, label: str) -> float:
         """Of all machines in a block's record."""
+        return sum(self.kinds(label).values())
+
+    def kinds(self, label: str) -> dict[Kind, float]:
+        """Processors of a block's machines by type, zone and whether they are spot ones."""
         record, stamp = self.blocks[label]
-        known = self._processors.get(label)
+        known = self._kinds.get(label)
         if known is not None and known[0] == stamp:
             return known[1]
-        types = self.types
-        found = sum(types[m.build].cpus for m in record.machines.values() if m.build in types)
-        self._processors[label] = (stamp, found)
+        numbers = Counter((m.build, m.zone, m.spot) for m in record.machines.values())
+        found = {
+            kind: number * self.types[kind[0]].cpus
+            for kind, number in numbers.items()
+            if kind[0] in self.types
+        }
+        self._kinds[label] = (stamp, found)
         return found
 
     def holder_of(self, label: str) -> str | None:
--- a/fallpulley/fleet/provider.py
+++ b/fallpulley/fleet/provider.py
@@ -146,7 +146,7 @@
         """A list once begun comes to its end, however many pages it has and whatever else is
         asked of the cloud meanwhile."""
         leaves = LIST_LEAVES * self.bucket.most if after else 0.0
-        return self.bucket.tokens >= 1 + leaves
+        return self.bucket.tokens >= min(self.bucket.most, 1 + leaves)
 
     def _list(self, after: str) -> None:
         def done(status: int | None, body: bytes, sent_at: float) -> None:
--- a/fallpulley/jobs/service.py
+++ b/fallpulley/jobs/service.py
@@ -322,20 +322,29 @@
         return None
 
     def _choose_block(self, spec: Submission) -> str | None:
-        """The open block with the least work for its machines; a limited team's own block."""
+        """The open block with the least work for the machines that the job may use; a limited
+        team's own block."""
         if self.teams[spec.crew].limited and spec.crew in self.registry.homes:
             return self.registry.homes[spec.crew]
         assigned = self.block_of_team(spec.crew)
         if assigned is not None:
             return assigned
-        if len(self.registry.blocks) == 1:
-            return next(iter(self.registry.blocks))
-        best: tuple[float, str] | None = None
-        for label in self.registry.blocks:
-            entry = (self.load(label) / max(self.registry.processors(label), 1.0), label)
-            if best is None or entry < best:
-                best = entry
-        return best[1] if best else None
+        blocks = self.registry.blocks
+        if len(blocks) < 2:
+            return next(iter(blocks), None)
+        return min(blocks, key=lambda label: self._crowding(spec, label))
+
+    def _crowding(self, spec: Submission, label: str) -> tuple[bool, float, str]:
+        """Seconds of work for each processor that the job may use; last where it may use none. A
+        block that had nothing but spot machines once got urgent jobs that may not run on them."""
+        usable = sum(
+            cpus
+            for (build, zone, spot), cpus in self.registry.kinds(label).items()
+            if (spec.loaners or not spot)
+            and (spec.builds is None or build in spec.builds)
+            and (spec.hall is None or zone == spec.hall)
+        )
+        return usable == 0, self.load(label) / max(usable, 1.0), label
 
     def _accept(self, ticket: Any, spec: Submission, block: str) -> None:
         key = JOBS + spec.uid
