--- a/fallpulley/cli.py
+++ b/fallpulley/cli.py
@@ -9,8 +9,9 @@
 from collections.abc import Sequence
 
 from fallpulley import __version__
+from fallpulley.capacity import shortages, shortages_for
 from fallpulley.exits import BAD_SETTINGS, EXPLAINED, FAILED, OK
-from fallpulley.settings import Settings, SettingsError, load, shortages
+from fallpulley.settings import Settings, SettingsError, load
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
@@ -27,10 +28,23 @@
     serve.add_argument("--config", required=True, metavar="FILE", help="the platform's settings")
     check = commands.add_parser("check-config", help="check a settings file and say what it holds")
     check.add_argument("config", metavar="FILE", help="the platform's settings")
+    check.add_argument(
+        "--machines",
+        type=_positive,
+        metavar="N",
+        help="also say what a fleet of N machines needs; else of machines_max, where it is set",
+    )
     _add_shares(commands.add_parser("shares", help="show and change each controller's share"))
     return parser
 
 
+def _positive(text: str) -> int:
+    number = int(text)
+    if number < 1:
+        raise argparse.ArgumentTypeError("expected a number of machines above 0")
+    return number
+
+
 def _add_shares(parser: argparse.ArgumentParser) -> None:
     commands = parser.add_subparsers(dest="shares_command", required=True, metavar="COMMAND")
     show = commands.add_parser("show", help="show the shares and how far blocks are from them")
@@ -81,6 +95,9 @@
     lacking = shortages(settings)
     if options.command == "check-config":
         print(_describe(settings))
+        machines = options.machines or settings.operators.machines_max
+        if machines:
+            lacking += shortages_for(settings, machines)
         for shortage in lacking:
             print(f"fallpulley: warning: {shortage}", file=sys.stderr)
         return OK
--- a/fallpulley/settings.py
+++ b/fallpulley/settings.py
@@ -30,16 +30,6 @@
 # a connection to the controller that serves it, and only one controller may be left.
 SERVE_SHARE, MESH_SHARE, CALL_SHARE = 0.8, 0.04, 0.11
 
-# What a controller was measured to need, on simulated machines. Processor time from its start to
-# its first session, rounded up, and what it takes as a share of a core with nothing to do.
-START_CPU_S = 0.15
-IDLE_SHARE = 0.008
-# Memory after its start, rounded up, and that of the largest holder measured (950 machines, 1,400
-# jobs) beyond it, for each machine.
-START_MB, MACHINE_MB = 24.0, 0.05
-# A controller that is to take over must start well within a worker's lease.
-START_LEASES = 0.5
-
 
 class SettingsError(Exception):
     """The settings cannot be used; the message names the field."""
@@ -239,31 +229,6 @@
         raise SettingsError(f"{OPERATORS_FILE}: shares.policy: {error}") from None
 
 
-def shortages(settings: Settings) -> list[str]:
-    """What the machine lacks, each with the figure needed, from measured needs and the settings."""
-    limits, workers = settings.facts.machine_limits, settings.facts.workers
-    share = max(2 * IDLE_SHARE, START_CPU_S / (START_LEASES * workers.lease_s))
-    # Memory for as many machines as there are sockets for: each holds one while it reports.
-    memory_mb = START_MB + MACHINE_MB * limits.sockets
-    found = []
-    if limits.core_share < share:
-        found.append(
-            f"facts.machine_limits.core_share: {limits.core_share:g} is too small, {share:.3g} is"
-            f" needed to start within {START_LEASES:g} of lease_s"
-        )
-    if limits.memory_mb < START_MB:
-        found.append(
-            f"facts.machine_limits.memory_mb: {limits.memory_mb:g} is too small, {START_MB:g} is"
-            " needed to start"
-        )
-    elif limits.memory_mb < memory_mb:
-        found.append(
-            f"facts.machine_limits.memory_mb: {limits.memory_mb:g} may be too small,"
-            f" {memory_mb:.0f} is needed for as many machines as there are sockets"
-        )
-    return found
-
-
 def _read(path: str) -> dict[str, object]:
     try:
         with open(path, "rb") as file:
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -88,6 +88,26 @@
     assert carried(0.01, 1.5) < 100  # a holder that can carry few still gets no more
 
 
+def test_a_fleet_that_controllers_cannot_carry_is_said_with_what_it_would_take(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    def warnings(limits: str, machines: str) -> str:
+        path = tmp_path / "node.toml"
+        path.write_text(f"{GOOD}\n[facts.machine_limits]\n{limits}")
+        assert main(["check-config", str(path), "--machines", machines]) == 0
+        return capsys.readouterr().err
+
+    small = "core_share = 0.09\nmemory_mb = 122.0\nsockets = 1200"
+    assert warnings(small, "200") == ""
+    found = warnings(small, "4000")
+    for field, needed in [("core_share", "0.889"), ("sockets", "5000"), ("memory_mb", "224")]:
+        assert f"{field}: " in found and needed in found
+    assert "facts.nodes" in found and len(found.splitlines()) == 4
+    assert warnings("core_share = 1.0\nmemory_mb = 400.0\nsockets = 6000", "4500") == ""
+    with pytest.raises(SystemExit):
+        warnings(small, "0")
+
+
 def test_a_machine_too_small_is_warned_of_with_the_figure_needed(
     tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
