--- a/fallpulley/fleet/autoscaler.py
+++ b/fallpulley/fleet/autoscaler.py
@@ -8,11 +8,11 @@
 from fallpulley.blocks.registry import Registry
 from fallpulley.blocks.writer import BlockWriter
 from fallpulley.core import Core
+from fallpulley.fleet.demand import groups_of
 from fallpulley.fleet.messages import MachineType
 from fallpulley.fleet.provider import MachineProvider
 from fallpulley.fleet.sizing import Group, Sizing, Supply, size_fleet
 from fallpulley.mesh.messages import MachineRequest
-from fallpulley.placement.queue import groups_of
 from fallpulley.workers.machine import Machine
 
 log = logging.getLogger(__name__)
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -1,4 +1,4 @@
-"""From a held block to the picture a plan is made of, and to the work the fleet is sized by."""
+"""From a held block to the picture a plan is made of."""
 
 from __future__ import annotations
 
@@ -10,8 +10,7 @@
 from fallpulley.blocks.registry import Registry
 from fallpulley.core import Core
 from fallpulley.fleet.messages import MachineType
-from fallpulley.fleet.sizing import Group
-from fallpulley.jobs.messages import ENSEMBLE, SERVICE
+from fallpulley.jobs.messages import ENSEMBLE
 from fallpulley.jobs.open import OpenJob
 from fallpulley.placement.estimate import left_of
 from fallpulley.placement.plan import (
@@ -385,50 +384,3 @@
         found.append(Victim(run.piece, job.rank, run.need, loss))
     found.sort(key=lambda victim: victim.loss / max(victim.need[0], 0.1))
     return found
-
-
-def groups_of(
-    held: HeldBlock, types: dict[str, MachineType], now: float, drain_s: float
-) -> list[Group]:
-    """Queued and running work by the machines it may use."""
-    groups: dict[tuple[object, ...], Group] = {}
-    for job in held.jobs.values():
-        if job.withdrawn or job.finished or job.awaiting:
-            continue  # machines rented for what cannot start yet would stand idle
-        spec = job.spec
-        processors = _processors(job, types)
-        estimate = held.estimate(job)
-        if spec.shape == SERVICE:
-            # Not work that drains: as much as occupies its own processors all the time.
-            estimate = min(estimate, drain_s)
-        work = job.waiting_count() * estimate * processors
-        for run in job.runs.values():
-            ran = now - run.running_at if run.running_at is not None else 0.0
-            work += left_of(estimate, ran) * processors
-        builds = tuple(sorted(spec.builds)) if spec.builds is not None else None
-        urgent = job.rank >= URGENT_RANK
-        key = (spec.loaners, builds, spec.hall, urgent)
-        group = groups.setdefault(
-            key, Group(spec.loaners, builds, spec.hall, 0.0, 0.0, urgent=urgent)
-        )
-        group.work += work
-        group.widest = max(group.widest, processors)
-        if spec.shape == ENSEMBLE:
-            group.at_once = max(group.at_once, spec.pieces * processors)
-    return list(groups.values())
-
-
-def _processors(job: OpenJob, types: dict[str, MachineType]) -> float:
-    """A task's share of the cheapest machine that fits it, in processors."""
-    best: tuple[float, float] | None = None
-    for kind in types.values():
-        if job.spec.builds is not None and kind.label not in job.spec.builds:
-            continue
-        size = size_of(kind)
-        if any(n > s for n, s in zip(job.need, size, strict=True)):
-            continue
-        share = max(n / s for n, s in zip(job.need, size, strict=True) if s > 0)
-        entry = (kind.hourly * share, share * kind.cpus)
-        if best is None or entry < best:
-            best = entry
-    return best[1] if best else job.need[0]
