Duties: renting, returning, reclaiming and cleaning up under tokens, every action recorded first

Need: a controller that was replaced but does not know it must not return a machine that somebody uses. Change: package duties, off unless turned on. Each duty is a record attached to its holder's lease; every rental and return is recorded under its token before it goes out, and settled by whoever holds the duty next. No machine is used from the moment its return is recorded.

--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -34,6 +34,7 @@
 from fallpulley.workers.checkins import CheckinHandler
 
 if TYPE_CHECKING:
+    from fallpulley.duties.service import DutiesService
     from fallpulley.shares.service import SharesService
     from fallpulley.standby.service import Standby
 
@@ -97,6 +98,7 @@
             self.serving,
         )
         self.shares = self._start_shares()
+        self.duties = self._start_duties()
         self._formers: dict[str, list[Former]] = {}  # block -> holders before us
         # Cancelled by word of a peer, while our copy of their records is from before.
         self._called_off: set[str] = set()
@@ -240,6 +242,24 @@
         self.provider.block_for_rental = shares.block_for_rental
         return shares
 
+    def _start_duties(self) -> DutiesService | None:
+        """Only a controller that is to have them loads what duties need."""
+        if not self.core.settings.operators.duties.enabled:
+            return None
+        from fallpulley.duties.service import DutiesService
+
+        duties = DutiesService(
+            self.core,
+            self.view,
+            self.registry,
+            self.session,
+            self.leadership,
+            self.provider,
+            self.held,
+        )
+        self.provider.gate = duties
+        return duties
+
     def _peer(self, body: bytes) -> None:
         if body.startswith(STANDBY_TAGS):
             if self.standby is not None:
@@ -301,6 +321,9 @@
             if self.shares is not None:
                 self.shares.on_record(value)
             return
+        if self.duties is not None and self.duties.knows(key):
+            self.duties.on_key(key, value, stamp)
+            return
         holders = {label: entry[0] for label, entry in self.registry.blocks.items()}
         block = self.registry.on_key(key, value, stamp)
         if block is not None:
@@ -364,6 +387,8 @@
         record, stamp = entry
         if held is not None:
             held.update(record, stamp)
+            if self.duties is not None:
+                self.duties.block_held(held)
             return
         held = HeldBlock(core, label, record, stamp, fresh=previous is None)
         self.held[label] = held
@@ -377,6 +402,8 @@
         )
         for job in self.jobs.open_by_block.get(label, ()):
             self._add_job(held, job, self.jobs.known[job])
+        if self.duties is not None:
+            self.duties.block_held(held)
         if self.standby is not None:
             self.standby.block_held(held, previous)
         self._check_old_holders()
@@ -407,6 +434,8 @@
         self._look_again = True
         self.leadership.tick()
         term = self.leadership.term
+        if self.duties is not None:
+            self.duties.tick()
         if term is not None:
             self.provider.tick(term)
         marks_due = self.core.now >= self._marks_at
--- /dev/null
+++ b/fallpulley/duties/board.py
@@ -0,0 +1,65 @@
+"""Duties and intents as last seen in the shared records."""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+
+from fallpulley.duties.messages import DUTIES, DutyRecord, Intent, Return
+
+log = logging.getLogger(__name__)
+
+
+class Board:
+    """Who does what, and which actions may be under way, the oldest first."""
+
+    def __init__(self) -> None:
+        self.duties: dict[str, tuple[DutyRecord, int]] = {}
+        self.intents: dict[str, tuple[Intent, int]] = {}  # by key, with their stamps
+        self.returning: dict[str, str] = {}  # machine -> the intent that returns it
+
+    def on_key(self, key: str, value: bytes | None, stamp: int) -> list[str]:
+        """Take a record; returns the machines that are to be used no more, or may be again."""
+        if key.startswith(DUTIES):
+            self._on_duty(key[len(DUTIES) :], value, stamp)
+            return []
+        return self._on_intent(key, value, stamp)
+
+    def _on_duty(self, name: str, value: bytes | None, stamp: int) -> None:
+        record = None
+        if value is not None:
+            try:
+                record = msgspec.json.decode(value, type=DutyRecord)
+            except msgspec.MsgspecError:
+                log.error("state broken record duty=%s", name)
+        if record is None:
+            self.duties.pop(name, None)
+            return
+        self.duties[name] = (record, stamp)
+        log.info("duty held duty=%s by=%s term=%d", name, record.holder, stamp)
+
+    def _on_intent(self, key: str, value: bytes | None, stamp: int) -> list[str]:
+        changed = []
+        gone = self.intents.pop(key, None)
+        if gone is not None and isinstance(gone[0].action, Return):
+            for host in gone[0].action.hosts:
+                if self.returning.get(host) == key:
+                    del self.returning[host]
+                    changed.append(host)
+        if value is None:
+            return changed
+        try:
+            intent = msgspec.json.decode(value, type=Intent)
+        except msgspec.MsgspecError:
+            log.error("state broken record intent=%s", key)
+            return changed
+        self.intents[key] = (intent, stamp)
+        if isinstance(intent.action, Return):
+            self.returning.update(dict.fromkeys(intent.action.hosts, key))
+            changed += intent.action.hosts
+        return changed
+
+    def open_before(self, duty: str, token: int) -> bool:
+        """An intent of the duty's former holder is not settled yet."""
+        return any(i.duty == duty and i.token != token for i, _ in self.intents.values())
--- a/fallpulley/fleet/autoscaler.py
+++ b/fallpulley/fleet/autoscaler.py
@@ -108,7 +108,9 @@
         types = self.provider.types or self.registry.types
         supply = []
         for machine in held.machines.values():
-            if machine.leaving or machine.gone or machine.recall_at is not None:
+            if machine.leaving or machine.returning or machine.gone:
+                continue
+            if machine.recall_at is not None:
                 continue
             kind = types.get(machine.entry.build)
             if kind is None or (machine.ever_up and not machine.up):
--- a/fallpulley/fleet/provider.py
+++ b/fallpulley/fleet/provider.py
@@ -13,6 +13,7 @@
 from fallpulley.blocks.writer import BlockWriter
 from fallpulley.core import Core
 from fallpulley.effects import Done
+from fallpulley.fleet.gate import ActionGate, OpenGate
 from fallpulley.fleet.messages import (
     LIST_PAGE,
     RELEASE_MOST,
@@ -62,6 +63,7 @@
             str, tuple[RentalRequest, str]
         ] = {}  # rental requests without an answer yet
         self.answered_at = float("-inf")  # when the cloud last answered a rental request
+        self.gate: ActionGate = OpenGate()
         # The block that rented machines go to, by the one that asked for them.
         self.block_for_rental: Callable[[str], str] = lambda asked_for: asked_for
         self._counter = 0
@@ -179,6 +181,8 @@
 
     def _adopt(self) -> None:
         """Machines that no record knows: use them, or return them when they have failed."""
+        if not self.gate.may_adopt():
+            return
         now = self.core.now
         lag = 2 * self.core.settings.facts.cloud.list_lag_s + 2.0
         known = any(record.machines for record, _ in self.registry.blocks.values())
@@ -201,7 +205,7 @@
 
     def adopt(self, host: str, addr: str, build: str, zone: str, spot: bool) -> bool:
         """Grant a machine found in a list or by its report to a block."""
-        if host in self.released or host in self.registry.retired:
+        if host in self.released or host in self.registry.retired or not self.gate.may_adopt():
             return False
         block = self.block_for_grant()
         if block is None:
@@ -236,7 +240,9 @@
         hosts += [h for h in self.to_release if h not in self.registry.retired]
         if not hosts or now < self._next_release:
             return
-        hosts = hosts[:RELEASE_MOST]
+        hosts = self.gate.batch_to_return(hosts[:RELEASE_MOST])
+        if not hosts:
+            return
 
         def done(status: int | None, body: bytes, sent_at: float) -> None:
             if status != 200:
@@ -249,6 +255,7 @@
             for key in {self.registry.retired.get(host) for host in hosts}:
                 if key is not None and all(h in self.released for h in self.registry.retiring[key]):
                     self._drop_retired(key)
+            self.gate.returned(hosts)
             log.info("machines released n=%d first=%s", len(hosts), hosts[0])
 
         body = msgspec.json.encode(Release(hosts))
@@ -256,13 +263,21 @@
             self._next_release = now + CALL_S + 0.5
 
     def _drop_retired(self, key: str) -> None:
+        under = self.gate.clean_up_under()
+        if under is None:
+            return  # the record stays; its machines are returned once more
         self._dropping.add(key)
 
         def written(status: int | None, ledger: int) -> None:
             self._dropping.discard(key)
 
         self.core.state.write(
-            Write({key: self.view.stamp(key)}, [Change(key, None)], written, Priority.PROGRESS)
+            Write(
+                {key: self.view.stamp(key), **under},
+                [Change(key, None)],
+                written,
+                Priority.PROGRESS,
+            )
         )
 
     # -- renting ---------------------------------------------------------------------------
@@ -291,6 +306,8 @@
 
     def _send_rental(self, name: str) -> None:
         request, block = self.pending[name]
+        if not self.gate.may_rent(request, block):
+            return
 
         def done(status: int | None, body: bytes, sent_at: float) -> None:
             self._renting.discard(name)
@@ -302,6 +319,7 @@
             kind = (request.build, request.hall, request.loaners)
             if status == 200:
                 del self.pending[name]
+                self.gate.rental_settled(name)
                 hired = _decode(body, RentalAnswer) or RentalAnswer()
                 self._grant(hired.hosts, request, block)
                 if len(hired.hosts) < request.number:
@@ -310,11 +328,19 @@
                     self.refused_until.pop(kind, None)
             elif status == 400 or (status == 503 and b"no capacity" in body):
                 del self.pending[name]
+                self.gate.rental_settled(name)
                 self._back_off(kind)
 
         if self._call("POST", "/rentals", msgspec.json.encode(request), done):
             self._renting.add(name)
 
+    def resume_rental(self, request: RentalRequest, block: str) -> None:
+        """A rental that was recorded, by us or by a predecessor, and is not known to be settled:
+        the same name gets the same answer."""
+        if request.hire not in self.pending:
+            log.info("rental resumed hire=%s n=%d", request.hire, request.number)
+            self.pending[request.hire] = (request, block)
+
     def _late_rental(
         self, status: int | None, body: bytes, request: RentalRequest, block: str
     ) -> None:
@@ -325,6 +351,8 @@
 
     def _grant(self, hosts: list[str], request: RentalRequest, asked_for: str) -> None:
         block = self.block_for_rental(asked_for)
+        if block not in self.registry.blocks:
+            block = self.block_for_grant() or block
         log.info(
             "machines rented n=%d of=%d build=%s zone=%s spot=%s block=%s",
             len(hosts),
@@ -335,7 +363,7 @@
             block,
         )
         for host in hosts:
-            if host not in self.registry.host_block:
+            if host not in self.registry.host_block and host not in self.released:
                 entry = MachineEntry("", request.build, request.hall, request.loaners)
                 self.writer.add(block, host, entry)
 
--- a/fallpulley/settings.py
+++ b/fallpulley/settings.py
@@ -146,6 +146,12 @@
     policy_every_s: Annotated[float, Meta(ge=5, le=86_400)] = 30.0
 
 
+class DutiesSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[duties]`: renting, returning, reclaiming and cleaning up under tokens (docs/duties.md)."""
+
+    enabled: bool = False
+
+
 class Operators(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The operators' own settings, all optional. docs/operations.md explains each."""
 
@@ -164,6 +170,7 @@
     machines_max: Annotated[int, Meta(ge=0)] = 0
     standby: StandbySettings = StandbySettings()
     shares: SharesSettings = SharesSettings()
+    duties: DutiesSettings = DutiesSettings()
 
 
 class Settings(msgspec.Struct, frozen=True):
--- a/fallpulley/workers/machine.py
+++ b/fallpulley/workers/machine.py
@@ -75,6 +75,7 @@
         self.refuse_until = float("-inf")
         self.used = False  # marked in the block's record: tasks may be started
         self.draining = False  # takes no new tasks: it is to leave the block when it is empty
+        self.returning = False  # it may be returned to the cloud at any moment
         self.leaving = False  # a record without this machine is being written
         self.idle_since: float | None = None
         self.fence_busy = False
@@ -89,6 +90,7 @@
             and self.fenced
             and self.unacknowledged_since is None
             and not self.leaving
+            and not self.returning
             and not self.gone
             and self.recall_at is None
         )
