--- a/fallpulley/fleet/provider.py
+++ b/fallpulley/fleet/provider.py
@@ -238,7 +238,7 @@
         now = self.core.now
         hosts = [h for h, key in self.registry.retired.items() if key not in self._dropping]
         hosts += [h for h in self.to_release if h not in self.registry.retired]
-        if not hosts or now < self._next_release:
+        if now < self._next_release:
             return
         hosts = self.gate.batch_to_return(hosts[:RELEASE_MOST])
         if not hosts:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -20,6 +20,7 @@
     Rent,
     Return,
     duty_key,
+    intent_key,
 )
 from fallpulley.duties.service import DutiesService
 from tests.test_standby import ROOT
@@ -210,6 +211,19 @@
     check_actions(world)
 
 
+def test_a_return_left_open_is_settled_though_nothing_else_is_to_be_returned() -> None:
+    world = world_with(3, 3, idle_boots=50.0)
+    host = sorted(world.workers)[0]
+    label = leader(world)
+    token = world.state.data[duty_key(RETURNING)][1]
+    intent = Intent(RETURNING, token, Return([host]))
+    write = {"set": intent_key(RETURNING, token, 99), "v": msgspec.to_builtins(intent)}
+    assert world.state.txn({"if": [], "then": [write]})[0] == 200
+    world.until(lambda: host not in world.workers and not open_intents(world), 10.0)
+    assert leader(world) == label
+    check_actions(world)
+
+
 def test_a_replaced_holders_record_that_is_carried_out_late_is_refused() -> None:
     world = world_with(0, 6)
     old = leader(world)
