--- /dev/null
+++ b/tests/loopback/measure_duties.py
@@ -0,0 +1,118 @@
+"""What duties cost a rental, and how long none is made when their holder ends.
+
+    python3 -m tests.loopback.measure_duties --rounds 20 --duties on --mode killed
+
+Real processes on this machine against the stand-ins. In each round a job needs machines that are
+not there; in every other one the leader is killed or paused as soon as the job is accepted. With
+duties on, the stand-ins' histories are compared: every action was recorded before it went out.
+"""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+import tempfile
+
+import anyio
+
+from tests.loopback.deployment import Deployment, running
+from tests.loopback.measure_takeover import histogram, percentiles
+from tests.test_duties import check_actions
+from tests.world import LABELS, job
+
+MACHINES = 10
+SETTLE_S = 3.0
+
+
+class Rounds:
+    """One round after the other, with and without the leader's end."""
+
+    def __init__(self, deployment: Deployment, mode: str) -> None:
+        self.deployment = deployment
+        self.world = deployment.world
+        self.mode = mode
+        self.number = 0
+        self.rented = {False: histogram(), True: histogram()}
+        self.returned = {False: histogram(), True: histogram()}
+
+    async def one(self, disturbed: bool) -> None:
+        """Machines rented for a job, its tasks done, the machines returned."""
+        world = self.world
+        self.number += 1
+        spec = job(self.number, pieces=MACHINES, cpus=8.0, expect_s=2.0, size_gb=0.1)
+        world.times[spec["uid"]] = 2.0
+        actions = len(world.actions)
+        assert await world.submit(spec, 60.0)
+        began = world.now
+        ended = self._end() if disturbed else None
+        await self.deployment.until(lambda: len(world.actions) > actions, 60.0, "a rental")
+        self.rented[disturbed].record_value(max(1, round((world.now - began) * 1000)))
+        await self.deployment.until(
+            lambda: bool(world.stage(spec["uid"]) == "done"), 120.0, "the job is done"
+        )
+        began = world.now
+        await self.deployment.until(lambda: not world.workers, 120.0, "all are returned")
+        self.returned[disturbed].record_value(max(1, round((world.now - began) * 1000)))
+        if ended is not None:
+            await self._back(ended)
+        await anyio.sleep(SETTLE_S)
+
+    def _end(self) -> str:
+        leader = str(self.world.state.data["live/leader"][0]["label"])
+        if self.mode == "killed":
+            self.deployment.kill(leader)
+        else:
+            self.deployment.pause(leader)
+        return leader
+
+    async def _back(self, label: str) -> None:
+        if self.mode == "killed":
+            self.deployment.start(label)
+        else:
+            self.deployment.resume(label)
+        sessions = [f"live/session/{name}" for name in LABELS]
+        await self.deployment.until(
+            lambda: all(key in self.world.state.data for key in sessions), 60.0, "all sessions"
+        )
+
+
+async def measure(options: argparse.Namespace, folder: pathlib.Path) -> None:
+    """All rounds on one deployment that begins without machines."""
+    enabled = "true" if options.duties == "on" else "false"
+    operators = f"idle_boots = 0.2\n[duties]\nenabled = {enabled}\n"
+    async with running(folder, 0, options.lease_s, operators) as deployment:
+        deployment.world.capacity = MACHINES
+        rounds = Rounds(deployment, options.mode)
+        await anyio.sleep(SETTLE_S)
+        for number in range(options.rounds):
+            await rounds.one(disturbed=number % 2 == 1)
+        for disturbed, name in ((False, "undisturbed"), (True, f"leader {options.mode}")):
+            print(percentiles(f"{name}: rented after", rounds.rented[disturbed]))
+            print(percentiles(f"{name}: returned after", rounds.returned[disturbed]))
+        in_use = [action for action in deployment.world.actions if action.in_use]
+        print(f"{len(deployment.world.actions)} actions, {len(in_use)} on machines in use")
+        if options.duties == "on":
+            check_actions(deployment.world)
+            print("every action was recorded under its duty's token before it went out")
+
+
+def main() -> None:
+    """The command line."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else "")
+    parser.add_argument("--rounds", type=int, default=20)
+    parser.add_argument("--mode", choices=("killed", "paused"), default="killed")
+    parser.add_argument("--duties", choices=("on", "off"), default="on")
+    parser.add_argument("--lease-s", type=float, default=20.0)
+    parser.add_argument("--logs", type=pathlib.Path, help="a new folder to keep the logs in")
+    options = parser.parse_args()
+    print(f"duties {options.duties}, leader {options.mode}")
+    if options.logs is not None:
+        options.logs.mkdir(parents=True)
+        anyio.run(measure, options, options.logs, backend="asyncio")
+        return
+    with tempfile.TemporaryDirectory() as folder:
+        anyio.run(measure, options, pathlib.Path(folder), backend="asyncio")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/world.py
+++ b/tests/world.py
@@ -655,7 +655,7 @@
             for piece in worker.pieces.values()
         )
 
-    def _act(self, sender: str, name: str, hosts: list[str]) -> None:
+    def _note_action(self, sender: str, name: str, hosts: list[str]) -> None:
         in_use = [host for host in hosts if not name and self._in_use(host)]
         self.actions.append(CloudAction(self.now, self.state.ledger, sender, name, hosts, in_use))
 
@@ -684,7 +684,7 @@
             page = int(args["page"])
             return 200, {"hosts": hosts[:page], "has_next": len(hosts) > page}
         if call.path == "/rentals/release":
-            self._act(sender, "", body["hosts"])
+            self._note_action(sender, "", body["hosts"])
             for host in body["hosts"]:
                 if self.workers.pop(host, None) is not None:
                     self.released.append(host)
@@ -697,7 +697,7 @@
             return 503, {"error": "no capacity"}
         hosts = [self.machine(body["hall"], body["loaners"]) for _ in range(count)]
         self.hires[body["hire"]] = hosts
-        self._act(sender, body["hire"], hosts)
+        self._note_action(sender, body["hire"], hosts)
         return 200, {"hosts": hosts}
 
     # -- time ------------------------------------------------------------------------------
