--- a/fallpulley/blocks/balance.py
+++ b/fallpulley/blocks/balance.py
@@ -89,7 +89,9 @@
 
     def _hand_over_idle(self, held: HeldBlock, to: str, number: int) -> None:
         idle = [m for m in held.machines.values() if m.usable and m.empty]
-        idle.sort(key=lambda m: m.idle_since or 0.0, reverse=True)
+        # Spot machines first: jobs that may not use them go where the others are, and would find
+        # these scattered over blocks, each with room that none of the others' jobs can have.
+        idle.sort(key=lambda m: (m.entry.spot, m.idle_since or 0.0), reverse=True)
         for machine in idle[:number]:
             log.info("machine handed over machine=%s from=%s to=%s", machine.host, held.label, to)
             machine.leaving = True
