--- a/fallpulley/blocks/balance.py
+++ b/fallpulley/blocks/balance.py
@@ -19,6 +19,9 @@
 
 # A holder that hears none of its machines for this share of their lease gives its block away.
 UNHEARD_LEASES = 0.4
+# Of a block's machines, so many leave it at once for one below its target: one at a time, a block
+# of thousands took most of an hour to be shared out.
+MOVE_SHARE = 0.1
 
 
 class BlockBalance:
@@ -81,15 +84,16 @@
                 continue
             if sizes[label] - targets[label] < 1 or self.writer.handing.get(label):
                 continue
-            self._hand_over_idle(held, to)
+            most = max(1, int(MOVE_SHARE * sizes[label]))
+            self._hand_over_idle(held, to, min(most, short[to], sizes[label] - targets[label]))
 
-    def _hand_over_idle(self, held: HeldBlock, to: str) -> None:
+    def _hand_over_idle(self, held: HeldBlock, to: str, number: int) -> None:
         idle = [m for m in held.machines.values() if m.usable and m.empty]
-        if not idle:
-            return
-        machine = max(idle, key=lambda m: m.idle_since or 0.0)
-        log.info("machine handed over machine=%s from=%s to=%s", machine.host, held.label, to)
-        machine.leaving = True
-        held.booked.pop(machine.host, None)
-        held.dirty = True
-        self.writer.hand_over(held.label, machine.host, to)
+        idle.sort(key=lambda m: m.idle_since or 0.0, reverse=True)
+        for machine in idle[:number]:
+            log.info("machine handed over machine=%s from=%s to=%s", machine.host, held.label, to)
+            machine.leaving = True
+            held.marks_due[machine.host] = None
+            held.booked.pop(machine.host, None)
+            held.dirty = True
+            self.writer.hand_over(held.label, machine.host, to)
--- a/fallpulley/blocks/shares.py
+++ b/fallpulley/blocks/shares.py
@@ -26,9 +26,11 @@
 
 
 def machines_per_block(facts: Facts) -> int:
-    """What one holder serves within its processor share."""
-    busy = facts.machine_limits.core_share * CHECKIN_SHARE * facts.workers.report_s / CHECKIN_S
-    return max(1, int(busy))
+    """What one holder serves within its processor share, and with as many machines as sockets: a
+    few connections made anew cost less than a second block."""
+    limits = facts.machine_limits
+    busy = limits.core_share * CHECKIN_SHARE * facts.workers.report_s / CHECKIN_S
+    return max(1, min(int(busy), limits.sockets))
 
 
 def blocks_wanted(machines: int, controllers: int, per_block: int) -> int:
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -25,6 +25,7 @@
 from fallpulley.jobs.messages import OPEN, WITHDRAWN
 from fallpulley.jobs.persistence import JobPersistence
 from fallpulley.jobs.service import JOBS, JobService, Known
+from fallpulley.mesh.counts import CountsInTurn
 from fallpulley.mesh.messages import CalledOff, MachineRequest
 from fallpulley.mesh.peers import HEARTBEAT_S, Peers
 from fallpulley.placement.planner import Planner
@@ -101,6 +102,7 @@
         self._called_off: set[str] = set()
         self._started_at = 0.0
         self._machine_requests: dict[str, list[MachineRequest]] = {}  # by block
+        self._counts_in_turn = CountsInTurn()
         self._next_tick = float("-inf")
         self._marks_at = float("-inf")
         self._look_again = True  # plans or marks have changed what check-ins wait for
@@ -447,14 +449,13 @@
             self._machine_requests = {}
 
     def _counts(self) -> list[tuple[str, int, int]]:
-        counts = []
+        counts = {}
         for held in self.held.values():
             for job in held.jobs.values():
                 if not job.withdrawn:
-                    entry = (job.done, len(job.runs))
-                    self.jobs.counts[job.job] = entry
-                    counts.append((job.job, *entry))
-        return counts
+                    counts[job.job] = (job.done, len(job.runs))
+        self.jobs.counts.update(counts)
+        return self._counts_in_turn.choose(counts)
 
     def _plan(self) -> None:
         if self.view.ready and self.planner.plan(self.held):
--- a/fallpulley/effects.py
+++ b/fallpulley/effects.py
@@ -12,6 +12,8 @@
 
 # How a finished call comes back: status (None: no answer, outcome unknown), body, sent at.
 Done = Callable[[int | None, bytes, float], None]
+# The status of a call whose answer was longer than this process can take; HTTP has no such one.
+ANSWER_TOO_LONG = 0
 
 
 class Request(msgspec.Struct):
--- a/fallpulley/fleet/autoscaler.py
+++ b/fallpulley/fleet/autoscaler.py
@@ -249,5 +249,6 @@
         """From here nothing is placed on it, whatever becomes of the write."""
         log.info("machine given up machine=%s why=%s block=%s", machine.host, why, held.label)
         machine.leaving = True
+        held.marks_due[machine.host] = None
         held.dirty = True
         self.writer.remove(held.label, machine.host)
--- a/fallpulley/fleet/messages.py
+++ b/fallpulley/fleet/messages.py
@@ -4,6 +4,11 @@
 
 import msgspec
 
+# What the cloud's protocol allows: machines in a page of its list, in a release and in a rental.
+LIST_PAGE = 500
+RELEASE_MOST = 100
+RENTAL_MOST = 50
+
 
 class MachineType(msgspec.Struct):
     label: str
--- a/fallpulley/fleet/provider.py
+++ b/fallpulley/fleet/provider.py
@@ -14,6 +14,9 @@
 from fallpulley.core import Core
 from fallpulley.effects import Done
 from fallpulley.fleet.messages import (
+    LIST_PAGE,
+    RELEASE_MOST,
+    RENTAL_MOST,
     Catalog,
     Listed,
     MachineList,
@@ -31,9 +34,11 @@
 
 CALL_S = 3.0
 PRICES_S = 20.0  # prices move slowly; the types do not
-LIST_PAGE = 500
-RELEASE_MOST = 100
-RENTAL_MOST = 50
+# Of the calls that the cloud allows, what lists may take: with thousands of machines one has many
+# pages, and rentals and releases go before it. A page after the first leaves a part of the calls
+# that are saved up.
+LIST_SHARE = 0.5
+LIST_LEAVES = 0.3
 # After a refusal the same kind is asked again after this share of its boot time, doubling up to the
 # other: what a wave of recalls took is often to be had again within a boot time.
 REFUSAL_SHARE = 0.25
@@ -65,6 +70,8 @@
         self._next_catalog = float("-inf")
         self._next_list = float("-inf")
         self._listing: dict[str, Listed] | None = None
+        self._page_after: str | None = None  # the next page of the list waits for the budget
+        self._list_began = float("-inf")
         self.to_release: set[str] = set()  # to be released, whatever records say
         self._next_release = float("-inf")
         self._dropping: set[str] = set()
@@ -80,13 +87,11 @@
             self._began_at = now
             self._counter = 0
             self.pending.clear()
+            self._listing = self._page_after = None
         self.bucket.refill(now)
         if now >= self._next_catalog:
             self._fetch_catalog()
-        if now >= self._next_list and self._listing is None:
-            self._next_list = now + max(1.5, 0.5 * self.core.settings.facts.cloud.list_lag_s)
-            self._listing = {}
-            self._list("")
+        self._list_on()
         self._release()
         for name in list(self.pending):
             if name not in self._renting and now >= self._retry_at.get(name, 0.0):
@@ -124,6 +129,25 @@
 
     # -- the list --------------------------------------------------------------------------
 
+    def _list_on(self) -> None:
+        """Begin the next list, or ask for the page that is due."""
+        now = self.core.now
+        if now >= self._next_list and self._listing is None:
+            # Should this one fail, the next begins then.
+            self._next_list = now + max(1.5, 0.5 * self.core.settings.facts.cloud.list_lag_s)
+            self._list_began = now
+            self._listing = {}
+            self._page_after = ""
+        if self._page_after is not None and self._may_list(self._page_after):
+            after, self._page_after = self._page_after, None
+            self._list(after)
+
+    def _may_list(self, after: str) -> bool:
+        """A list once begun comes to its end, however many pages it has and whatever else is
+        asked of the cloud meanwhile."""
+        leaves = LIST_LEAVES * self.bucket.most if after else 0.0
+        return self.bucket.tokens >= 1 + leaves
+
     def _list(self, after: str) -> None:
         def done(status: int | None, body: bytes, sent_at: float) -> None:
             page = _decode(body, MachineList) if status == 200 else None
@@ -133,19 +157,26 @@
             for machine in page.hosts:
                 self._listing[machine.uid] = machine
             if page.has_next and page.hosts:
-                self._list(page.hosts[-1].uid)
+                self._page_after = page.hosts[-1].uid
                 return
-            self.listed, self._listing = self._listing, None
-            self.listed_at = self.core.now
-            for host, machine in self.listed.items():
-                if machine.addr:
-                    self.writer.addresses[host] = machine.addr
-            self._adopt()
+            self._listed(self._listing)
 
         path = f"/rentals?page={LIST_PAGE}" + (f"&after={after}" if after else "")
         if not self._call("GET", path, None, done):
             self._listing = None
 
+    def _listed(self, machines: dict[str, Listed]) -> None:
+        """A list is whole."""
+        self.listed, self._listing = machines, None
+        self.listed_at = self.core.now
+        pages = len(machines) // LIST_PAGE + 1
+        spaced = self._list_began + pages / (LIST_SHARE * self.bucket.rate)
+        self._next_list = max(self._next_list, spaced)
+        for host, machine in machines.items():
+            if machine.addr:
+                self.writer.addresses[host] = machine.addr
+        self._adopt()
+
     def _adopt(self) -> None:
         """Machines that no record knows: use them, or return them when they have failed."""
         now = self.core.now
--- a/fallpulley/fleet/sizing.py
+++ b/fallpulley/fleet/sizing.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from fallpulley.fleet.messages import MachineType
+from fallpulley.fleet.messages import RENTAL_MOST, MachineType
 
 # Work of a high rank is to drain in this share of the time others may take.
 URGENT_DRAIN = 0.5
@@ -143,7 +143,7 @@
     for number, (_, build, zone, spot) in enumerate(alike):
         share = wanted / (len(alike) - number)
         count = math.ceil(share / types[build].cpus - 0.25)
-        count = min(count, room_for - rented, 50)
+        count = min(count, room_for - rented, RENTAL_MOST)
         if count > 0:
             sizing.rents.append(Rent(build, zone, spot, count))
             rented += count
--- a/fallpulley/mesh/peers.py
+++ b/fallpulley/mesh/peers.py
@@ -13,6 +13,9 @@
 # Our copy is behind when it was not refreshed for so many heartbeats while a peer's was.
 BEHIND_HEARTBEATS = 3.0
 
+# Jobs in one message about cancellations.
+TOLD_MOST = 1000
+
 
 class Peers:
     def __init__(self, core: Core) -> None:
@@ -50,7 +53,8 @@
 
     def tell(self, label: str, jobs: list[str]) -> None:
         """Tell a block's holder of cancellations; nothing is lost if it does not hear."""
-        self.send(label, msgspec.json.encode(CalledOff(jobs)))
+        for at in range(0, len(jobs), TOLD_MOST):
+            self.send(label, msgspec.json.encode(CalledOff(jobs[at : at + TOLD_MOST])))
 
     def send(self, label: str, body: bytes) -> None:
         """One message to a peer; whether it came is not known."""
--- a/fallpulley/serve.py
+++ b/fallpulley/serve.py
@@ -11,7 +11,7 @@
 
 from fallpulley.controller import Controller
 from fallpulley.effects import Answer, Call, Command, OperatorRequest, PeerMessage, Request, Result
-from fallpulley.settings import Settings
+from fallpulley.settings import CALL_SHARE, MESH_SHARE, SERVE_SHARE, Settings
 from fallpulley.wire.client import Client
 from fallpulley.wire.limit import AdaptiveLimit
 from fallpulley.wire.server import Server
@@ -23,12 +23,11 @@
 # What arrives within this time is one batch: at 200 check-ins a second a step for each would cost
 # more than all of them, and nobody who waits for an answer notices.
 GATHER_S = 0.015
+# Of the memory, what one answer may take: the changes of a long gap have no limit, and reading all
+# keys again by pages costs less than an end for memory.
+ANSWER_SHARE = 0.125
 # How often connections that were idle for long are closed.
 SWEEP_S = 5.0
-# Of the machine's sockets: for users and workers, for other controllers and for calls to workers;
-# the rest is for calls to the state service, the cloud and peers. Every machine of the fleet holds
-# a connection to the controller that serves it, and only one controller may be left.
-SERVE_SHARE, MESH_SHARE, CALL_SHARE = 0.8, 0.04, 0.11
 
 
 class Service:
@@ -69,7 +68,8 @@
             settings = self.settings
             first = [settings.endpoints.state, settings.endpoints.cloud]
             first += [seed.address for seed in settings.seeds]
-            client = Client(tasks, max(8, int(limits.sockets * CALL_SHARE)), first)
+            answer_most = int(ANSWER_SHARE * limits.memory_mb * 2**20)
+            client = Client(tasks, max(8, int(limits.sockets * CALL_SHARE)), first, answer_most)
             tasks.start_soon(public.run)
             tasks.start_soon(mesh.run)
             tasks.start_soon(self._sweep, client)
--- a/fallpulley/settings.py
+++ b/fallpulley/settings.py
@@ -25,6 +25,11 @@
     os.path.join(_PROGRAM, "deploy", OPERATORS_FILE),
 )
 
+# Of the machine's sockets: for users and workers, for other controllers and for calls to workers;
+# the rest is for calls to the state service, the cloud and peers. Every machine of the fleet holds
+# a connection to the controller that serves it, and only one controller may be left.
+SERVE_SHARE, MESH_SHARE, CALL_SHARE = 0.8, 0.04, 0.11
+
 # What a controller was measured to need, on simulated machines. Processor time from its start to
 # its first session, rounded up, and what it takes as a share of a core with nothing to do.
 START_CPU_S = 0.15
--- a/fallpulley/shares/reconciler.py
+++ b/fallpulley/shares/reconciler.py
@@ -136,6 +136,7 @@
             if not machine.empty:
                 continue
             machine.leaving = True
+            held.marks_due[host] = None
             held.booked.pop(host, None)
             held.dirty = True
             self.writer.hand_over(held.label, host, taker)
--- a/fallpulley/state/client.py
+++ b/fallpulley/state/client.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from fallpulley.effects import Call, Done, Effect
+from fallpulley.effects import ANSWER_TOO_LONG, Call, Done, Effect
 
 log = logging.getLogger(__name__)
 
@@ -246,6 +246,8 @@
 
     def _settle(self, group: list[Write], status: int | None, answer: bytes) -> None:
         reply = _TxnReply()
+        if status == ANSWER_TOO_LONG:
+            status = None
         if status in (200, 409):
             try:
                 reply = msgspec.json.decode(answer, type=_TxnReply)
--- a/fallpulley/state/view.py
+++ b/fallpulley/state/view.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from fallpulley.effects import ANSWER_TOO_LONG
 from fallpulley.state.client import Priority, StateClient
 
 log = logging.getLogger(__name__)
@@ -153,7 +154,9 @@
         self.state.read(path, done, Priority.READ, timeout_s=ROUND_S, expires_at=now + ROUND_S)
 
     def _take(self, status: int | None, body: bytes, sent_at: float) -> bool:
-        if status == 410:
+        if status in (410, ANSWER_TOO_LONG):
+            # Read again by pages: asked once more, the changes of a long gap are only more.
+            log.info("changes are read anew after=%d status=%d", self.ledger, status)
             self.loaded = self.ready = False
             return False
         changes = _decode(body, _Changes) if status == 200 else None
--- a/fallpulley/wire/client.py
+++ b/fallpulley/wire/client.py
@@ -17,13 +17,14 @@
 import anyio.abc
 import h11
 
+from fallpulley.effects import ANSWER_TOO_LONG
 from fallpulley.settings import split_address
 
 log = logging.getLogger(__name__)
 
 KEEP_S = 20.0  # a connection idle for longer is not used again
 KEEP_MOST = 6  # idle connections kept for one address
-ANSWER_MOST = 64 * 1024 * 1024  # of an answer's body: nobody we talk to sends as much
+ANSWER_MOST = 64 * 1024 * 1024  # of an answer's body, where no memory limit says less
 HEADS_KEPT = 512  # of requests, by address and length
 
 _END = h11.EndOfMessage()
@@ -38,7 +39,7 @@
     return h11.Request(method="GET", target="/", headers=headers)
 
 
-# Status and body, or (None, b"") when no answer came: the outcome is unknown.
+# Status and body; (None, b"") when no answer came: the outcome is unknown; `ANSWER_TOO_LONG`.
 Answered = Callable[[int | None, bytes], None]
 
 
@@ -132,8 +133,10 @@
                 self._status = event.status_code
             elif type(event) is h11.Data:
                 self._size += len(event.data)
-                if self._size > ANSWER_MOST:
-                    raise h11.RemoteProtocolError("answer too long")
+                if self._size > self.client.answer_most:
+                    self._end(ANSWER_TOO_LONG)
+                    self.abort()
+                    return
                 self._chunks.append(bytes(event.data))
             elif type(event) is h11.EndOfMessage:
                 body = b"".join(self._chunks)
@@ -168,9 +171,14 @@
     to the addresses in `first` (state service, cloud, peers) wait for nobody."""
 
     def __init__(
-        self, tasks: anyio.abc.TaskGroup, sockets: int = 128, first: Collection[str] = ()
+        self,
+        tasks: anyio.abc.TaskGroup,
+        sockets: int = 128,
+        first: Collection[str] = (),
+        answer_most: int = ANSWER_MOST,
     ) -> None:
         self._tasks = tasks
+        self.answer_most = answer_most
         self.sockets = sockets
         self.first = frozenset(first)
         self.open: set[_Connection] = set()
--- a/fallpulley/wire/server.py
+++ b/fallpulley/wire/server.py
@@ -31,6 +31,9 @@
 # Beyond this share of the sockets users' connections end with their answer: a machine that finds
 # no socket loses its lease with all its tasks, a user comes back through the load balancer.
 CROWDED = 0.85
+# For so long after a machine's connection had to make room for another one, machines' connections
+# end with their answer, too, while sockets are crowded: there are more machines than sockets.
+SHORT_S = 60.0
 # Heads of answers that are kept: statuses with the lengths that occur, most of them a few bytes.
 HEADS_KEPT = 512
 
@@ -77,6 +80,7 @@
         self.due_at = 0.0  # when the connection is overdue, whatever it is at
         self.counted = False  # the limit counts the request in progress
         self.user = False  # its last request was a user's
+        self.machine = False  # its last request was a machine's report
         self.ticket: Ticket | None = None
         self._request: h11.Request | None = None
         self._chunks: list[bytes] = []
@@ -96,7 +100,7 @@
         self.due_at = time.monotonic() + IDLE_S
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.server.open.discard(self)
+        self.server.forget(self)
         self.transport = None
         self._uncount()
         if self.ticket is not None:
@@ -108,6 +112,7 @@
             return
         if self._request is None and self.ticket is None:
             self.due_at = time.monotonic() + READ_S
+            self.server.wake(self)
         try:
             self.http.receive_data(data)
             if self.ticket is None:
@@ -165,6 +170,7 @@
         self.ticket = ticket = Ticket(self)
         limit = self.server.limit
         self.user = path.startswith("/work")
+        self.machine = path == "/checkin"
         if limit is not None and self.user:
             if not limit.enter(query=request.method == b"GET"):
                 ticket.settle(503, b'{"error":"busy"}', 1.0)
@@ -183,11 +189,12 @@
         self.ticket = None
         self._uncount()
         try:
-            self._send(status, body, retry_after, close=self.user and self.server.crowded)
+            self._send(status, body, retry_after, close=self.server.is_to_close(self))
             if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
                 self._close()
                 return
             self.http.start_next_cycle()
+            self.server.rest(self)
             if self.http.trailing_data[0]:
                 # Never within the owner's step: the next request is for its next batch.
                 asyncio.get_running_loop().call_soon(self._advance)
@@ -249,18 +256,49 @@
         self.sockets = sockets
         self.limit = limit
         self.open: set[Connection] = set()
+        # Between two requests, the one idle for longest first.
+        self._idle_users: dict[Connection, None] = {}
+        self._idle_others: dict[Connection, None] = {}
+        self._short_until = float("-inf")
 
     @property
     def crowded(self) -> bool:
+        """Nearly all sockets are taken."""
         return len(self.open) > CROWDED * self.sockets
 
+    def is_to_close(self, connection: Connection) -> bool:
+        """Whether a connection ends with the answer that it gets now."""
+        if not self.crowded:
+            return False
+        short = time.monotonic() < self._short_until
+        return connection.user or (connection.machine and short)
+
+    def rest(self, connection: Connection) -> None:
+        """The connection has had its answer and is idle."""
+        idle = self._idle_users if connection.user else self._idle_others
+        idle[connection] = None
+
+    def wake(self, connection: Connection) -> None:
+        """The connection is idle no longer."""
+        self._idle_users.pop(connection, None)
+        self._idle_others.pop(connection, None)
+
+    def forget(self, connection: Connection) -> None:
+        """The connection is closed."""
+        self.open.discard(connection)
+        self.wake(connection)
+
     def make_room(self) -> bool:
-        """Close the user's connection that has been idle for longest; False: there is none."""
-        idle = [c for c in self.open if c.user and c.ticket is None]
-        if not idle:
+        """Close the connection that has been idle for longest, a user's before a machine's; False:
+        there is none. A machine that reports each few seconds comes again with a new one; without
+        this a fleet larger than the sockets had its later machines refused for good."""
+        first = next(iter(self._idle_users), None)
+        if first is None:
+            first = next(iter(self._idle_others), None)
+            self._short_until = time.monotonic() + SHORT_S
+        if first is None:
             return False
-        first = min(idle, key=lambda connection: connection.due_at)
-        self.open.discard(first)
+        self.forget(first)
         first.abort()
         return True
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -187,6 +187,42 @@
     run(story, sockets=4)
 
 
+def test_a_fleet_larger_than_the_sockets_has_every_report_answered() -> None:
+    """Machines' idle connections once made room for nobody: all beyond the sockets were refused."""
+
+    async def story(echo: Echo, address: str, client: Caller) -> None:
+        host, port = address.split(":")
+        report = b"POST /checkin HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}"
+        streams: dict[int, anyio.abc.SocketStream] = {}
+        answers, closed = 0, 0
+        for _ in range(3):
+            for machine in range(10):
+                for _ in range(2):  # one reset while idle is sent again
+                    stream = streams.pop(machine, None)
+                    if stream is None:
+                        stream = await anyio.connect_tcp(host, int(port))
+                    try:
+                        await stream.send(report)
+                        answer = (await stream.receive()).lower()
+                    except (anyio.EndOfStream, anyio.BrokenResourceError):
+                        await stream.aclose()
+                        continue
+                    answers += b"200" in answer
+                    if b"connection: close" in answer:
+                        closed += 1
+                        await stream.aclose()
+                    else:
+                        streams[machine] = stream
+                    break
+        assert answers == 30 and closed >= 10
+        # A user's poll takes no socket from a report under way, and is answered as well.
+        assert (await client.call(address, "GET", "/work/job-1", None, 1.0))[0] == 200
+        for stream in streams.values():
+            await stream.aclose()
+
+    run(story, sockets=4)
+
+
 def test_heads_that_repeat_are_checked_once() -> None:
     # Hundreds of answers a second share a few heads; h11 checks each header of every new one.
     answer_head.cache_clear()
