--- a/fallpulley/blocks/fencing.py
+++ b/fallpulley/blocks/fencing.py
@@ -34,13 +34,13 @@
         """Ask those whose turn it is, as far as sockets allow."""
         held = self.held
         if self._turn is None:
-            self._turn = deque(host for host in held.machines if host in held.unproven)
+            self._turn = deque(host for host in held.machines if host in held.unconfirmed)
         for _ in range(len(self._turn)):
             if self.under_way >= self.most:
                 return
             host = self._turn.popleft()
             machine = held.machines.get(host)
-            if machine is None or host not in held.unproven or machine.settled:
+            if machine is None or host not in held.unconfirmed or machine.fenced:
                 continue  # it has shown our token, or has left
             self._turn.append(host)
             if not machine.entry.addr and host in addresses:
@@ -69,7 +69,7 @@
             machine.fence_busy = False
             machine.fence_fails += status not in (200, 409)
 
-        self.held.direct(machine, [], answered)
+        self.held.commands.direct(machine, [], answered)
 
 
 def _with_address(entry: MachineEntry, addr: str) -> MachineEntry:
--- a/fallpulley/blocks/marks.py
+++ b/fallpulley/blocks/marks.py
@@ -53,8 +53,8 @@
 
     def _follow(self, held: HeldBlock, machine: Machine, marked: bool) -> None:
         unfenced = self.core.now < machine.unfenced_at + self.core.lease_s
-        unproven = machine.host in held.unproven
-        may_hold = machine.up or bool(machine.runs) or unproven or unfenced
+        unconfirmed = machine.host in held.unconfirmed
+        may_hold = machine.up or bool(machine.runs) or unconfirmed or unfenced
         if (machine.usable or unfenced) and not marked:
             self._mark(held, machine.host, True)
         elif not may_hold and marked and machine.got_at < self.core.now:
--- a/fallpulley/controller.py
+++ b/fallpulley/controller.py
@@ -386,7 +386,7 @@
         core = self.core
         for label, held in self.held.items():
             formers = self._formers.get(label)
-            if not held.unproven or formers is None:
+            if not held.unconfirmed or formers is None:
                 continue
             if all(self.registry.ended(former, core.label, core.boot) for former in formers):
                 held.old_holders_ended()
@@ -413,14 +413,14 @@
         if marks_due:
             self._marks_at = self.core.now + MARK_REPORTS * self.core.report_s
         for held in self.held.values():
-            held.settle_silent(self.view.fresh_at)
+            held.expire_leases(self.view.fresh_at)
             held.stop_broken()
             self.balance.give_if_unheard(held)
             if marks_due:
                 self.marks.compare(held)
             elif held.marks_due:
                 self.marks.follow(held)
-            if held.unproven:
+            if held.unconfirmed:
                 held.fencing.tick(self.writer.addresses)
             if held.formers_silent():
                 self.writer.alone.add(held.label)
@@ -428,7 +428,7 @@
                 self.writer.touching.add(held.label)
             self.job_persistence.tick(held, self.jobs.derived.get(held.label, {}))
             if self.session.live():
-                if held.unproven and term is not None:
+                if held.unconfirmed and term is not None:
                     self.autoscaler.prove(held)
                 machine_requests = self.autoscaler.tick(held, term is not None)
                 if machine_requests:
--- a/fallpulley/fleet/autoscaler.py
+++ b/fallpulley/fleet/autoscaler.py
@@ -28,10 +28,10 @@
 LATE_BOOTS = 2.0
 NEVER_BOOTS = 4.0
 # After a takeover a machine may stay unreachable for this share of a lease.
-UNPROVEN_LEASES = 0.25
+UNCONFIRMED_LEASES = 0.25
 # When more than this share of a zone is out of reach, it is the network: they will be back. A
 # wave of recalls takes a third or a half of the cheap machines, among others that answer.
-UNPROVEN_SHARE = 0.4
+UNCONFIRMED_SHARE = 0.4
 # A machine that was silent for so many leases goes back: most likely it is no more.
 SILENT_LEASES = 2.5
 
@@ -40,7 +40,7 @@
 KNOWN_REPORTS = 1.5
 
 # A machine whose reports come but that has not heard us for so many reports is not counted on.
-DEAF_REPORTS = 2.0
+UNACKNOWLEDGED_REPORTS = 2.0
 
 # The level of work is smoothed over so many boot times.
 SMOOTH_BOOTS = 1.0
@@ -99,7 +99,7 @@
         """How long after a takeover the block's work is not known: what runs, and what is done
         but not yet durable, comes with the machines' reports. Taken for waiting, it once had 300
         machines rented at once."""
-        if held.unproven:
+        if held.unconfirmed:
             return self.core.lease_s
         return KNOWN_REPORTS * self.core.report_s
 
@@ -113,8 +113,8 @@
             kind = types.get(machine.entry.build)
             if kind is None or (machine.ever_up and not machine.up):
                 continue
-            deaf = machine.deaf_since if machine.settled else None
-            if deaf is not None and now - deaf > DEAF_REPORTS * self.core.report_s:
+            since = machine.unacknowledged_since if machine.fenced else None
+            if since is not None and now - since > UNACKNOWLEDGED_REPORTS * self.core.report_s:
                 continue
             if not machine.ever_up and now - machine.got_at > LATE_BOOTS * kind.startup_s:
                 continue
@@ -201,11 +201,15 @@
             listed = self.provider.listed.get(machine.host)
             if listed is not None and listed.stage == "failed":
                 machine.gone = True
-            if machine.host in held.unproven:
+            if machine.host in held.unconfirmed:
                 continue
-            deaf_s = now - machine.deaf_since if machine.deaf_since is not None else 0.0
-            if deaf_s > SILENT_LEASES * self.core.lease_s and not machine.runs:
-                self._give_up(held, machine, "deaf")
+            unacknowledged_s = (
+                now - machine.unacknowledged_since
+                if machine.unacknowledged_since is not None
+                else 0.0
+            )
+            if unacknowledged_s > SILENT_LEASES * self.core.lease_s and not machine.runs:
+                self._give_up(held, machine, "hears nothing")
             elif not machine.up and not machine.runs:
                 since = max(machine.heard_at, machine.got_at)
                 if machine.host in self.provider.released:
@@ -228,23 +232,23 @@
         """A machine that does not answer after a takeover holds back every job accepted before
         it. Nearly always it is dead; the cloud's answer to its release proves it empty. Only
         the leader asks for that."""
-        if self.core.now - held.taken_at < UNPROVEN_LEASES * self.core.lease_s:
+        if self.core.now - held.taken_at < UNCONFIRMED_LEASES * self.core.lease_s:
             return
         zones: dict[str, list[int]] = {}
         for host, machine in held.machines.items():
             zone = zones.setdefault(machine.entry.zone, [0, 0])
-            zone[0] += host in held.unproven
+            zone[0] += host in held.unconfirmed
             zone[1] += 1
-        for host in list(held.unproven):
+        for host in list(held.unconfirmed):
             machine = held.machines[host]
             missing, all_there = zones[machine.entry.zone]
             tried = machine.fence_fails >= 2 or not machine.entry.addr
             if host in self.provider.released:
-                held.proved_empty(host)
+                held.confirm_empty(host)
             elif (
                 host not in self.provider.to_release
                 and tried
-                and missing <= max(1.0, UNPROVEN_SHARE * all_there)
+                and missing <= max(1.0, UNCONFIRMED_SHARE * all_there)
             ):
                 log.info("machine released as proof machine=%s block=%s", host, held.label)
                 self.provider.to_release.add(host)
--- a/fallpulley/placement/planner.py
+++ b/fallpulley/placement/planner.py
@@ -50,7 +50,7 @@
         decision = plan_block(held, self.core, self.registry, self.jobs.teams)
         held.booked = decision.starts
         for stop in decision.stops:
-            held.preempt(stop.host, stop.pieces)
+            held.commands.preempt(stop.host, stop.pieces)
         self._prompt_reports(held)
 
     def _space(self, took_s: float) -> None:
@@ -66,4 +66,4 @@
         for host in held.booked:
             machine = held.machines.get(host)
             if machine is not None and machine.heard_at + self.core.report_s > soon:
-                held.prompt_report(machine)
+                held.commands.prompt_report(machine)
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -136,7 +136,7 @@
         if team is not None and team.limited:
             if unclear is None:
                 # Tasks that we cannot see, or cannot ascribe to a team, may use up the limit.
-                unclear = bool(held.unproven) or not held.loaded or held.has_unaccounted_tasks()
+                unclear = bool(held.unconfirmed) or not held.loaded or held.has_unaccounted_tasks()
             if unclear:
                 continue
         tasks = job.waiting_count()
--- a/fallpulley/shares/service.py
+++ b/fallpulley/shares/service.py
@@ -219,7 +219,7 @@
         self._next_look = now + LOOK_REPORTS * self.core.report_s
         found = self._targets()
         for held in self.held.values():
-            if self.session.live() and not held.unproven:
+            if self.session.live() and not held.unconfirmed:
                 self.reconciler.reconcile(held, found)
         if self.leadership.term is not None:
             self._follow_policy()
@@ -308,7 +308,7 @@
         record, _ = self.registry.blocks[label]
         if not self.registry.holder_alive(record):
             return CONTROLLER_ABSENT
-        if held is not None and held.unproven:
+        if held is not None and held.unconfirmed:
             return DOUBT
         if draining:
             return WAITING_FOR_TASKS
--- a/fallpulley/standby/service.py
+++ b/fallpulley/standby/service.py
@@ -155,7 +155,7 @@
             self._tell_lag(block, followed)
         for block, expected in self.expected.items():
             stream = self.streams[block]
-            if not expected.settled and not stream.held.unproven:
+            if not expected.compared and not stream.held.unconfirmed:
                 compare(stream.held, expected)
 
     def _tell_status(self) -> None:
--- a/fallpulley/standby/takeover.py
+++ b/fallpulley/standby/takeover.py
@@ -18,7 +18,7 @@
     """What a replica lets one expect to find in a block that was taken over."""
 
     attempts: dict[str, int]  # task -> attempt
-    settled: bool = False  # compared with what the machines reported
+    compared: bool = False  # compared with what the machines reported
 
 
 def seed(held: HeldBlock, replica: Replica) -> Expected:
@@ -60,7 +60,7 @@
 
 def compare(held: HeldBlock, expected: Expected) -> None:
     """Once every machine has reported: how far the replica was from what they run."""
-    expected.settled = True
+    expected.compared = True
     found = {run.piece: run.attempt for run in held.runs() if run.attempt < held.first_attempt}
     alike = sum(expected.attempts.get(piece) == attempt for piece, attempt in found.items())
     log.info(
--- a/fallpulley/workers/checkins.py
+++ b/fallpulley/workers/checkins.py
@@ -110,8 +110,8 @@
         if report.baton > machine.token:
             # Away and back between two looks of ours: to us it is a machine just granted.
             machine.token = held.token
-            machine.settled = False
-        newer = held.take_report(machine, report, checkin=True)
+            machine.fenced = False
+        newer = held.intake.take(machine, report, checkin=True)
         if report.addr:
             self.writer.addresses[report.host] = report.addr
         until = self.core.now + DEFER_REPORTS * self.core.report_s
@@ -192,7 +192,7 @@
             return False
         if not self.serving():
             return False  # looked at again: one that waited may have outlived the window
-        if machine.host not in held.unproven or machine.settled:
+        if machine.host not in held.unconfirmed or machine.fenced:
             return True
         # It may hold tasks and has not shown that it hears us. An answer may renew its lease, so
         # it gets a few only: a machine that hears nothing would put off the proof that it is
@@ -205,10 +205,10 @@
     def _answer(self, checkin: DeferredCheckin) -> None:
         held, machine = checkin.held, checkin.machine
         orders: list[Order] = []
-        if machine.settled:
+        if machine.fenced:
             # Also when an answer of `/do` has overtaken the report: the reply renews the
             # lease, so it carries what is to stop.
-            orders = held.orders(machine)
+            orders = held.commands.orders(machine)
             # The mark by the newest copy of the record, not by the last look over all marks.
             used = machine.used and self.writer.used(held.label, machine.host)
             if checkin.newer and machine.usable and used and self.view.ready:
@@ -229,7 +229,7 @@
                 or job.is_done(booking.index)
             ):
                 continue
-            order = held.start(machine, job, booking, held.estimate(job))
+            order = held.commands.start(machine, job, booking, held.estimate(job))
             if order is None:
                 break
             orders.append(order)
--- a/fallpulley/workers/machine.py
+++ b/fallpulley/workers/machine.py
@@ -46,9 +46,9 @@
         # The token it is commanded under: the stamp of the record that gave it to us. Any stamp
         # from there up to the record's newest is ours alone, so it may rise on the way.
         self.token = since
-        self.settled = False  # has reported with our token
+        self.fenced = False  # has reported with our token
         # Since when its reports come without showing that it hears us; None: it does.
-        self.deaf_since: float | None = None
+        self.unacknowledged_since: float | None = None
         self.ordered = False  # a `run` went out that no check-in has settled yet
         self.checked = (0, -1)  # (shift, tick) of its newest check-in
         self.slot: Slot | None = None  # the planner's picture; None: something has changed
@@ -86,8 +86,8 @@
     def usable(self) -> bool:
         return (
             self.up
-            and self.settled
-            and self.deaf_since is None
+            and self.fenced
+            and self.unacknowledged_since is None
             and not self.leaving
             and not self.gone
             and self.recall_at is None
@@ -130,9 +130,9 @@
     def same(self, report: Report) -> bool:
         """The report tells nothing but that the machine still reports."""
         return (
-            self.settled
+            self.fenced
             and not self.ordered
-            and self.deaf_since is None
+            and self.unacknowledged_since is None
             and self.recall_at is None
             and report.recall_s is None
             and report.shift == self.shift
@@ -173,7 +173,7 @@
     if report.shift != machine.shift:
         # A new session: the worker killed and forgot everything it had. One whose reports never
         # ceased has not had our answers, nor has one that never took what was last ordered.
-        outcome.missed = (machine.up or machine.ordered) and machine.settled
+        outcome.missed = (machine.up or machine.ordered) and machine.fenced
         outcome.vanished.extend(machine.runs.values())
         machine.runs.clear()
         machine.fetching.clear()
