Count machines to be added before merging the pages of a shard

Callers saw machines that were rented but never added to a shard, while its record was written again and again.

Cause: can_merge_pages weighed only the machines already in pages against half of a value. With values of 2 KiB, 30 machines with irregular ids and 170 to add, the pages were merged, the additions outgrew the single value, it was split into pages, and these were merged again: every update changed the layout alone.

Now the machines to be added count towards the size, so a record is merged only if its next update fits into the single value.

--- a/fallpulley/shared_records/layout.py
+++ b/fallpulley/shared_records/layout.py
@@ -101,14 +101,14 @@
     return RecordUpdate(changes, [], [], True)
 
 
-def can_merge_pages(record: ShardRecord, added: int, limits: RecordLimits) -> bool:
+def can_merge_pages(record: ShardRecord, add: Machines, limits: RecordLimits) -> bool:
     """Return whether the machines of all pages are to be merged into a single value.
 
-    They are if they are few enough together with the `added` machines still to be added, if they
-    fill at most half of a value, and if one transaction can delete all pages.
+    They are if they are few enough together with the machines to add, if all of these fill at most
+    half of a value, and if one transaction can delete all pages. Without the machines to add, the
+    record would be merged, outgrow its value with them, and be split again, for ever.
     """
-    if len(record.machines) + added > MAX_MERGED_MACHINES:
+    machines = record.machines | add
+    if len(machines) > MAX_MERGED_MACHINES or len(record.pages) + 1 > limits.max_changes:
         return False
-    if len(record.pages) + 1 > limits.max_changes:
-        return False
-    return len(encode_single_value(record, record.machines, limits)) * 2 <= limits.max_value_bytes
+    return len(encode_single_value(record, machines, limits)) * 2 <= limits.max_value_bytes
--- a/fallpulley/shared_records/paged_update.py
+++ b/fallpulley/shared_records/paged_update.py
@@ -39,7 +39,7 @@
 
     def build(self) -> RecordUpdate:
         """Return the values to write for as much of the change as one transaction holds."""
-        if can_merge_pages(self._record, len(self._change.add), self._limits):
+        if can_merge_pages(self._record, self._change.add, self._limits):
             return merge_pages(self._shard_id, self._record, self._limits)
         # Removals come first, because they make room in the pages that they rewrite.
         self._remove_machines()
