Keep the entry of a machine that is added to the record that has it

What callers could see: after a failover, a task of such a machine started a second time.

Cause: _update_single_value replaced the entry of a machine by the one to add, which a move makes unoccupied, and dropped the machine altogether where the value was too large. Moves are not checked against the receiving record, unlike other additions. It also reported the removal of machines that the record does not have.

Now present machines are told apart from absent ones before anything is written.

--- a/fallpulley/shared_records/record_update.py
+++ b/fallpulley/shared_records/record_update.py
@@ -13,6 +13,7 @@
     encode_single_value,
     split_into_pages,
 )
+from fallpulley.shared_records.machine_encoding import Machines
 from fallpulley.shared_records.paged_update import PagedUpdate
 from fallpulley.shared_records.shard_change import RecordLimits, RecordUpdate, ShardChange
 from fallpulley.shared_records.shard_record import ShardRecord
@@ -36,27 +37,41 @@
 def _update_single_value(
     shard_id: str, record: ShardRecord, mod_revision: int, change: ShardChange, limits: RecordLimits
 ) -> RecordUpdate:
-    removed = set(change.remove)
-    machines = {
+    removed = [machine_id for machine_id in change.remove if machine_id in record.machines]
+    kept = {
         machine_id: entry
         for machine_id, entry in record.machines.items()
-        if machine_id not in removed
+        if machine_id not in set(removed)
     }
-    added = list(change.add)
+    # A machine that the record has already keeps its entry, which may flag it as occupied.
+    present = [machine_id for machine_id in change.add if machine_id in kept]
+    absent = [machine_id for machine_id in change.add if machine_id not in kept]
+    added = absent
     if limits.paged:
         # Let the record grow to at most one machine above the limit of a single value. The next
         # update finds it above the limit and lays it out in pages.
-        del added[max(0, MAX_SINGLE_VALUE_MACHINES + 1 - len(machines)) :]
-    machines.update((machine_id, change.add[machine_id]) for machine_id in added)
-    change.apply_to_entries(machines)
-    value = encode_single_value(record, machines, limits)
+        added = absent[: max(0, MAX_SINGLE_VALUE_MACHINES + 1 - len(kept))]
+    value = _encode_changed(record, kept, added, change, limits)
     if len(value) > limits.max_value_bytes and limits.paged and record.machines:
         return split_into_pages(shard_id, record, mod_revision, limits)
     while len(value) > limits.max_value_bytes and added:
-        # A record above the size of a value could not be written. The machines added last are left
-        # out; the cloud's next list of machines adds them to a shard that has room.
-        for machine_id in added[len(added) // 2 :]:
-            machines.pop(machine_id, None)
-        del added[len(added) // 2 :]
-        value = encode_single_value(record, machines, limits)
-    return RecordUpdate([Change(SHARD_PREFIX + shard_id, value)], added, list(change.remove))
+        # A record above the size of a value could not be written: the last machines are left out.
+        added = added[: len(added) // 2]
+        value = _encode_changed(record, kept, added, change, limits)
+    return RecordUpdate(
+        [Change(SHARD_PREFIX + shard_id, value)],
+        present + added,
+        removed,
+    )
+
+
+def _encode_changed(
+    record: ShardRecord,
+    kept: Machines,
+    added: list[str],
+    change: ShardChange,
+    limits: RecordLimits,
+) -> bytes:
+    machines = kept | {machine_id: change.add[machine_id] for machine_id in added}
+    change.apply_to_entries(machines)
+    return encode_single_value(record, machines, limits)
