Rewrite a page of a shard together with all pages split from it, or not at all

Callers saw tasks started a second time while they still ran: machines had vanished from the record of their shard. Others saw machines that got no tasks, or lost their tasks to a release: they stood in two pages, so that a removal or a flag reached one of them alone.

Cause: PagedUpdate treated a page and the halves split from it as unrelated. Where a half was still too large and no change was left, _keep_unchanged gave up that half alone.

Why it works: a PageRewrite holds the change of one page and all values that replace the page; a transaction takes whole rewrites, and added and removed are read from them. If the whole change does not fit, fewer addresses, additions, flags and removals are tried, so an update that is written carries out at least one request. If none fits, the update says so and is not sent: the header alone was written again and again before. Machines that the record has no room for are refused and logged. The bytes of a transaction bound the rewrites directly, in place of repeated attempts with fewer changes, and include the release record. Headers keep room for splits (0.7 of a value in place of 0.8 for additions).

--- a/fallpulley/membership/shard_creation.py
+++ b/fallpulley/membership/shard_creation.py
@@ -7,7 +7,7 @@
 
 from fallpulley.controller_context import ControllerContext
 from fallpulley.membership.shard_assignment import ShardAssignment
-from fallpulley.shard_sizes import FULL_RECORD_SHARE, shards_needed
+from fallpulley.shard_sizes import FULL_HEADER_SHARE, FULL_RECORD_SHARE, shards_needed
 from fallpulley.shared_records.registry import Registry
 
 
@@ -72,7 +72,8 @@
         if record_format.paged and not all(record.pages for record, _ in shards.values()):
             # Some record is not divided into pages yet. That makes room, so it is done first.
             return False
-        full_bytes = FULL_RECORD_SHARE * record_format.max_value_bytes
+        full_share = FULL_HEADER_SHARE if record_format.paged else FULL_RECORD_SHARE
+        full_bytes = full_share * record_format.max_value_bytes
         record_bytes = self._registry.record_bytes
         return bool(shards) and all(record_bytes[shard_id] > full_bytes for shard_id in shards)
 
--- a/fallpulley/shard_sizes.py
+++ b/fallpulley/shard_sizes.py
@@ -26,6 +26,9 @@
 # Share of the value limit beyond which a record counts as full. A further shard is created when all
 # records are full.
 FULL_RECORD_SHARE = 0.8
+# The same for a record whose machines are in pages, which it lists. The rest is for pages that have
+# to be split although no machine is added.
+FULL_HEADER_SHARE = 0.7
 
 
 def machines_per_shard(facts: Facts) -> int:
--- a/fallpulley/shared_records/paged_update.py
+++ b/fallpulley/shared_records/paged_update.py
@@ -2,172 +2,254 @@
 
 from __future__ import annotations
 
+import itertools
+from collections.abc import Mapping
+
 from fallpulley.shared_records.keys import page_key
 from fallpulley.shared_records.layout import (
     MAX_PAGE_MACHINES,
+    HeaderRoom,
     can_merge_pages,
     header_change,
-    is_too_large,
     merge_pages,
-    page_change,
 )
 from fallpulley.shared_records.machine_encoding import Machines
+from fallpulley.shared_records.page_encoding import PageBounds
+from fallpulley.shared_records.page_rewrite import (
+    PageChange,
+    PageRewrite,
+    PageRewriter,
+    RewriteBounds,
+)
 from fallpulley.shared_records.shard_change import RecordLimits, RecordUpdate, ShardChange
-from fallpulley.shared_records.shard_record import MachinePage, ShardRecord
+from fallpulley.shared_records.shard_record import ShardRecord
 from fallpulley.state.transactions import Change
 
+# Changes of the smallest transaction that can split a page: the header, the page and a new one.
+MIN_SPLIT_CHANGES = 3
+# How much of a value a page may fill by additions and addresses where no transaction can split it.
+# The rest is for occupancy flags, which make a page larger.
+GROWN_PAGE_SHARE = 0.5
+
+
+def update_pages(
+    shard_id: str, record: ShardRecord, mod_revision: int, change: ShardChange, limits: RecordLimits
+) -> RecordUpdate:
+    """Return the values for as much of a change as one transaction holds."""
+    if can_merge_pages(record, change.add, limits):
+        return merge_pages(shard_id, record, limits)
+    return PagedUpdate(shard_id, record, mod_revision, limits).apply(change)
+
 
 class PagedUpdate:
-    """A builder for one update of a shard's header and pages; each instance is used once."""
+    """A builder for one update of a shard's header and pages; each instance is used once.
+
+    A page is rewritten together with all pages split from it, or not at all. What was added and
+    removed is read from the rewrites that are written.
+    """
 
     def __init__(
-        self,
-        shard_id: str,
-        record: ShardRecord,
-        mod_revision: int,
-        change: ShardChange,
-        limits: RecordLimits,
+        self, shard_id: str, record: ShardRecord, mod_revision: int, limits: RecordLimits
     ) -> None:
         self._shard_id = shard_id
         self._record = record
         self._mod_revision = mod_revision
-        self._change = change
         self._limits = limits
-        self._rewritten: dict[int, Machines] = {}  # page number -> machines, for pages to write
-        self._added: list[str] = []
-        self._removed: list[str] = []
-
-    def build(self) -> RecordUpdate:
-        """Return the values to write for as much of the change as one transaction holds."""
-        if can_merge_pages(self._record, self._change.add, self._limits):
-            return merge_pages(self._shard_id, self._record, self._limits)
+        self._addresses: Mapping[str, str] = {}
+        self._rewrites: dict[int, PageRewrite] = {}  # by number of the page that is replaced
+        self._full_pages: set[int] = set()  # pages that can take no more machines in this update
+        self._header = HeaderRoom(record, mod_revision, limits)
+
+    def apply(self, change: ShardChange) -> RecordUpdate:
+        """Return the values for as much of the change as fits; later updates write the rest."""
+        self._addresses = change.addresses
+        requests = self._requests_by_page(change)
+        present = change.add.keys() & self._record.machines.keys()
+        absent = sorted(change.add.keys() - present)
         # Removals come first, because they make room in the pages that they rewrite.
-        self._remove_machines()
-        self._rewrite_flagged_pages()
-        self._add_machines()
-        for machines in self._rewritten.values():
-            self._change.apply_to_entries(machines)
-        self._split_oversized_pages()
-        return self._encode()
-
-    def _remove_machines(self) -> None:
-        for machine_id in self._change.remove:
-            machines = self._rewrite(self._page_of(machine_id))
-            if machines is not None:
-                machines.pop(machine_id, None)
-                self._removed.append(machine_id)
-
-    def _rewrite_flagged_pages(self) -> None:
-        for machine_id in self._change.occupancy:
-            self._rewrite(self._page_of(machine_id))
-
-    def _add_machines(self) -> None:
-        for machine_id in sorted(self._change.add):
-            machines = self._rewrite(self._page_with_room())
-            if machines is None:
-                break
-            machines[machine_id] = self._change.add[machine_id]
-            self._added.append(machine_id)
+        self._change_pages(requests)
+        refused = self._add_machines({key: change.entry_to_add(key) for key in absent})
+        added = sorted(present)
+        for rewrite in self._rewrites.values():
+            added += rewrite.change.add
+        return RecordUpdate(
+            self._changes(),
+            added,
+            [key for rewrite in self._rewrites.values() for key in rewrite.change.remove],
+            refused=refused,
+            is_blocked=not self._rewrites and bool(requests or absent),
+        )
+
+    # -- changes of stored pages -----------------------------------------------------------------
+
+    def _requests_by_page(self, change: ShardChange) -> dict[int, PageChange]:
+        removed = set(change.remove)
+        requests: dict[int, PageChange] = {}
+        for machine_id in dict.fromkeys(change.remove):
+            page_change = self._request_for(machine_id, requests)
+            if page_change is not None:
+                page_change.remove.append(machine_id)
+        for machine_id, occupied in change.occupancy.items():
+            if machine_id in removed:
+                continue
+            page_change = self._request_for(machine_id, requests)
+            if page_change is not None:
+                page_change.occupancy[machine_id] = occupied
+        return requests
 
-    def _page_of(self, machine_id: str) -> int | None:
+    def _request_for(self, machine_id: str, requests: dict[int, PageChange]) -> PageChange | None:
+        """Return what is requested of the page that holds a machine; None if no page does."""
         for number, page in self._record.pages.items():
             if machine_id in page.machines:
-                return number
+                return requests.setdefault(number, PageChange([], {}, {}))
         return None
 
-    def _rewrite(self, number: int | None) -> Machines | None:
-        """Return the machines of a page to be written, for modification.
-
-        None if there is no such page, or if the transaction can write no further page.
+    def _change_pages(self, requests: dict[int, PageChange]) -> None:
+        for number, page_change in requests.items():
+            bounds = self._bounds(number)
+            if bounds.any_change.max_pages < 1:
+                return
+            rewrite = self._rewriter(number).rewrite(page_change, bounds)
+            if rewrite.pages:
+                self._rewrites[number] = rewrite
+        if not self._rewrites:
+            self._change_one_page_without_addresses(requests)
+
+    def _change_one_page_without_addresses(self, requests: dict[int, PageChange]) -> None:
+        """Change the first page that has room for a request once its addresses are left out.
+
+        This is the last resort, because a new owner probes machines at their addresses.
         """
-        if number is None:
-            return None
-        machines = self._rewritten.get(number)
-        # One change is reserved for splitting a page.
-        if machines is None and len(self._rewritten) + 1 < max(2, self._limits.max_changes - 1):
-            page = self._record.pages.get(number)
-            machines = self._rewritten[number] = dict(page.machines) if page is not None else {}
-        return machines
+        for number, page_change in requests.items():
+            rewriter = self._rewriter(number)
+            rewrite = rewriter.rewrite_without_addresses(page_change, self._bounds(number))
+            if rewrite.pages:
+                self._rewrites[number] = rewrite
+                return
 
-    def _page_with_room(self) -> int:
-        """Return the number of a page with room for a machine.
+    # -- additions -------------------------------------------------------------------------------
+
+    def _add_machines(self, machines: Machines) -> list[str]:
+        """Add as many machines as there is room for.
+
+        Returns those for which there would be no room in a transaction of their own either.
+        """
+        remaining = list(machines)
+        refused = []
+        while remaining:
+            number = self._page_with_room()
+            if number is None:
+                break
+            count = MAX_PAGE_MACHINES - self._machine_count(number)
+            batch = {machine_id: machines[machine_id] for machine_id in remaining[:count]}
+            added = self._add_to_page(number, batch)
+            del remaining[:added]
+            if added < len(batch):
+                self._full_pages.add(number)
+            if not added and not self._rewrites and number not in self._record.pages:
+                refused.append(remaining.pop(0))
+                self._full_pages.discard(number)
+        return refused + ([] if self._rewrites else remaining)
+
+    def _add_to_page(self, number: int, machines: Machines) -> int:
+        """Add as many of the machines to a page as fit, in their order; return their number."""
+        before = self._change_of(number)
+        change = PageChange(before.remove, before.occupancy, before.add | machines)
+        rewrite = self._rewriter(number).rewrite(change, self._bounds(number), before.size)
+        if not rewrite.pages:
+            return 0
+        self._rewrites[number] = rewrite
+        return rewrite.change.size - before.size
+
+    def _page_with_room(self) -> int | None:
+        """Return the number of a page to add machines to; None if there is none.
 
         A page that is rewritten anyway is preferred, then the fullest other page, then a new one.
         """
-        for number, machines in self._rewritten.items():
-            if len(machines) < MAX_PAGE_MACHINES:
+        for number in self._rewrites:
+            if number not in self._full_pages and self._machine_count(number) < MAX_PAGE_MACHINES:
                 return number
         with_room = [
             (len(page.machines), number)
             for number, page in self._record.pages.items()
-            if number not in self._rewritten and len(page.machines) < MAX_PAGE_MACHINES
+            if number not in self._rewrites and len(page.machines) < MAX_PAGE_MACHINES
         ]
-        return max(with_room)[1] if with_room else self._new_page_number()
-
-    def _new_page_number(self) -> int:
-        number = 0
-        while number in self._record.pages or number in self._rewritten:
-            number += 1
+        number = max(with_room)[1] if with_room else self._unused_numbers(1)[0]
+        if number in self._full_pages:
+            # Machines that differ that much in size are not worth looking for other pages.
+            number = self._unused_numbers(1)[0]
+        if number in self._full_pages or self._bounds(number).growth.max_pages < 1:
+            return None
         return number
 
-    def _split_oversized_pages(self) -> None:
-        """Split each rewritten page that is too large for a value.
+    # -- the transaction -------------------------------------------------------------------------
 
-        If the transaction can write no further page, machines to be added, or the whole rewrite
-        of the page, are left to a later update.
-        """
-        unchecked = list(self._rewritten)
-        while unchecked:
-            number = unchecked.pop()
-            machines = self._rewritten[number]
-            page = MachinePage(self._mod_revision, machines)
-            if not is_too_large(page, self._limits) or len(machines) < 2:
-                continue
-            if len(self._rewritten) + 1 < self._limits.max_changes:
-                unchecked += [number, self._split_page(machines)]
-            elif self._drop_added(machines):
-                unchecked.append(number)
-            elif len(self._rewritten) > 1:
-                self._keep_unchanged(number)
-
-    def _split_page(self, machines: Machines) -> int:
-        """Move the upper half of a page's machines to a new page and return its number."""
-        upper_half = sorted(machines)[len(machines) // 2 :]
-        number = self._new_page_number()
-        self._rewritten[number] = {
-            machine_id: machines.pop(machine_id) for machine_id in upper_half
-        }
-        return number
+    def _rewriter(self, number: int) -> PageRewriter:
+        return PageRewriter(self._mod_revision, self._stored_machines(number), self._addresses)
 
-    def _drop_added(self, machines: Machines) -> bool:
-        """Leave half of a page's added machines to a later update; return False if it has none."""
-        added = [machine_id for machine_id in self._added if machine_id in machines]
-        dropped = set(added[len(added) // 2 :])
-        for machine_id in dropped:
-            del machines[machine_id]
-        self._added = [machine_id for machine_id in self._added if machine_id not in dropped]
-        return bool(dropped)
-
-    def _keep_unchanged(self, number: int) -> None:
-        """Cancel the rewrite of a page; a later update can split it."""
-        del self._rewritten[number]
+    def _stored_machines(self, number: int) -> Machines:
         page = self._record.pages.get(number)
-        if page is not None:
-            self._removed = [
-                machine_id for machine_id in self._removed if machine_id not in page.machines
-            ]
-
-    def _encode(self) -> RecordUpdate:
+        return page.machines if page is not None else {}
+
+    def _change_of(self, number: int) -> PageChange:
+        rewrite = self._rewrites.get(number)
+        return rewrite.change if rewrite is not None else PageChange()
+
+    def _machine_count(self, number: int) -> int:
+        """Return how many machines a page and those split from it hold after this update."""
+        rewrite = self._rewrites.get(number)
+        if rewrite is None:
+            return len(self._stored_machines(number))
+        return sum(len(page.page.machines) for page in rewrite.pages)
+
+    def _bounds(self, number: int) -> RewriteBounds:
+        """Return the bounds that the other rewrites leave for the rewrite of a page."""
+        max_page_bytes = self._limits.max_value_bytes
+        can_split = self._limits.max_changes >= MIN_SPLIT_CHANGES
+        max_grown_bytes = int((1.0 if can_split else GROWN_PAGE_SHARE) * max_page_bytes)
+        return RewriteBounds(
+            self._page_bounds(number, self._header.for_split_pages(), max_page_bytes),
+            self._page_bounds(number, self._header.for_growth(), max_grown_bytes),
+        )
+
+    def _page_bounds(self, number: int, max_new_pages: int, max_page_bytes: int) -> PageBounds:
+        """Return the bounds for a page; `max_new_pages` is the bound of the whole update."""
+        others = {other: rewrite for other, rewrite in self._rewrites.items() if other != number}
+        page_count = sum(len(rewrite.pages) for rewrite in others.values())
+        new_pages = page_count - len(others.keys() & self._record.pages.keys())
+        new_pages_left = max(0, max_new_pages - new_pages)
+        return PageBounds(
+            min(
+                self._limits.max_changes - 1 - page_count,
+                new_pages_left + (1 if number in self._record.pages else 0),
+            ),
+            max_page_bytes,
+            self._limits.max_total_bytes
+            - self._header.max_bytes
+            - sum(rewrite.size for rewrite in others.values()),
+        )
+
+    def _unused_numbers(self, count: int) -> list[int]:
+        """Return the lowest page numbers that neither the record nor this update uses."""
+        used = self._record.pages.keys() | self._rewrites.keys()
+        unused = (number for number in itertools.count() if number not in used)
+        return list(itertools.islice(unused, count))
+
+    def _changes(self) -> list[Change]:
+        """Return the header and the pages to write."""
         pages = dict(self._record.pages)
         page_changes = []
-        for number, machines in self._rewritten.items():
-            if machines:
-                pages[number] = MachinePage(self._mod_revision, machines)
-                page_changes.append(
-                    page_change(self._shard_id, number, pages[number], self._limits)
-                )
-            else:
-                pages.pop(number, None)
-                page_changes.append(Change(page_key(self._shard_id, number), None))
-        header = header_change(self._shard_id, self._record, pages)
-        return RecordUpdate([header, *page_changes], self._added, self._removed)
+        unused_numbers = iter(
+            self._unused_numbers(sum(len(rewrite.pages) for rewrite in self._rewrites.values()))
+        )
+        for first_number, rewrite in self._rewrites.items():
+            numbers = itertools.chain([first_number], unused_numbers)
+            for encoded, number in zip(rewrite.pages, numbers, strict=False):
+                key = page_key(self._shard_id, number)
+                if encoded.page.machines:
+                    pages[number] = encoded.page
+                    page_changes.append(Change(key, encoded.value))
+                else:
+                    pages.pop(number, None)
+                    page_changes.append(Change(key, None))
+        return [header_change(self._shard_id, self._record, pages), *page_changes]
--- a/fallpulley/shared_records/record_update.py
+++ b/fallpulley/shared_records/record_update.py
@@ -14,7 +14,7 @@
     split_into_pages,
 )
 from fallpulley.shared_records.machine_encoding import Machines
-from fallpulley.shared_records.paged_update import PagedUpdate
+from fallpulley.shared_records.paged_update import update_pages
 from fallpulley.shared_records.shard_change import RecordLimits, RecordUpdate, ShardChange
 from fallpulley.shared_records.shard_record import ShardRecord
 from fallpulley.state.transactions import Change
@@ -28,7 +28,7 @@
     The rest is left to a later update.
     """
     if record.pages:
-        return PagedUpdate(shard_id, record, mod_revision, change, limits).build()
+        return update_pages(shard_id, record, mod_revision, change, limits)
     if limits.paged and len(record.machines) > MAX_SINGLE_VALUE_MACHINES:
         return split_into_pages(shard_id, record, mod_revision, limits)
     return _update_single_value(shard_id, record, mod_revision, change, limits)
@@ -62,6 +62,7 @@
         [Change(SHARD_PREFIX + shard_id, value)],
         present + added,
         removed,
+        refused=_refused(absent, added, limits),
     )
 
 
@@ -75,3 +76,13 @@
     machines = kept | {machine_id: change.add[machine_id] for machine_id in added}
     change.apply_to_entries(machines)
     return encode_single_value(record, machines, limits)
+
+
+def _refused(absent: list[str], added: list[str], limits: RecordLimits) -> list[str]:
+    """Return the machines that a record which is one value has no room for.
+
+    Where it can be laid out in pages, that is only one which no value can hold.
+    """
+    if not limits.paged:
+        return absent[len(added) :]
+    return [] if added else absent[:1]
--- a/fallpulley/shared_records/shard_change.py
+++ b/fallpulley/shared_records/shard_change.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from fallpulley.shared_records.machine_encoding import MachineEntry, Machines
-from fallpulley.state.transactions import Change
+from fallpulley.state.transactions import MAX_TRANSACTION_BYTES, Change
 
 
 class RecordLimits(msgspec.Struct, frozen=True):
@@ -17,6 +17,7 @@
     paged: bool  # whether the paged format may be written
     max_value_bytes: int  # maximum size of one value, in bytes
     max_changes: int  # maximum number of changed keys, including the record itself
+    max_total_bytes: int = MAX_TRANSACTION_BYTES  # maximum size of all values together
 
 
 class ShardChange(msgspec.Struct):
@@ -39,6 +40,12 @@
                     address, entry.machine_type, entry.zone, entry.spot, occupied
                 )
 
+    def entry_to_add(self, machine_id: str) -> MachineEntry:
+        """Return the entry of a machine to be added, with the flag that is requested for it."""
+        entry = self.add[machine_id]
+        occupied = self.occupancy.get(machine_id, entry.occupied)
+        return msgspec.structs.replace(entry, occupied=occupied)
+
 
 class RecordUpdate(msgspec.Struct):
     """The values to write for a shard's record, and which machines they add and remove."""
@@ -49,6 +56,10 @@
     # The values hold the same machines as before in another layout; the requested changes are
     # left to the next update.
     only_changes_layout: bool = False
+    # Machines to add that the record has no room for, or that no value can hold.
+    refused: list[str] = []
+    # Whether nothing that was requested could be written: the values would change nothing.
+    is_blocked: bool = False
 
     @property
     def size(self) -> int:
--- a/fallpulley/shared_records/transactions.py
+++ b/fallpulley/shared_records/transactions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -18,11 +19,10 @@
 from fallpulley.shared_records.versioned import Versioned
 from fallpulley.state.transactions import MAX_TRANSACTION_BYTES, Change
 
+log = logging.getLogger(__name__)
+
 # Changes of a transaction reserved for the record of machines to be released.
 RESERVED_RELEASE_CHANGES = 1
-# Changes that any update of a shard may use: its record and one page. The smallest transaction
-# holds both twice, so that it can move machines between two shards.
-MIN_UPDATE_CHANGES = 2
 
 
 class ShardTransaction(NamedTuple):
@@ -44,19 +44,26 @@
 
     def build_change(
         self, shard_id: str, shard: Versioned[ShardRecord], pending: PendingChanges
-    ) -> ShardTransaction:
+    ) -> ShardTransaction | None:
         """Return a transaction that adds and removes machines and updates occupancy flags.
 
-        In formats without pages, machines to be added that do not fit into the record are
-        discarded from `pending`.
+        None if no part of the change fits into the values of the record. Machines to be added that
+        the record has no room for are discarded from `pending`.
         """
         removed = select_releasable(pending.removing, self._record_format)
         change = ShardChange(pending.adding, removed, pending.occupancy, self._addresses)
-        update = self._largest_update(shard_id, shard, change)
-        if not self._record_format.paged:
-            # The cloud's next list of machines adds them to a shard that has room.
-            for machine_id in pending.adding.keys() - set(update.added):
-                del pending.adding[machine_id]
+        release_bytes = _total_size(release_changes(removed, self._record_format))
+        update = self._update(
+            shard_id,
+            shard,
+            change,
+            self._record_format.max_transaction_changes - RESERVED_RELEASE_CHANGES,
+            MAX_TRANSACTION_BYTES - release_bytes,
+        )
+        self._discard_refused(shard_id, update, pending)
+        if update.is_blocked and not pending.needs_new_revision:
+            self._log_blocked(shard_id, shard.value)
+            return None
         releases = release_changes(update.removed, self._record_format)
         return ShardTransaction(
             update.changes + releases, {SHARD_PREFIX + shard_id: shard.mod_revision}
@@ -76,14 +83,13 @@
         receiver = self._registry.shards.get(receiver_id) if receiver_id is not None else None
         if receiver_id is None or receiver is None:
             return None
-        max_changes = self._record_format.max_transaction_changes // 2
         machines = _machines_moving_to(receiver_id, shard.value, pending)
-        added = self._update(receiver_id, receiver, ShardChange(machines), max_changes)
+        added = self._update_of_move(receiver_id, receiver, ShardChange(machines))
         removal = ShardChange({}, added.added, pending.occupancy, self._addresses)
-        removed = self._update(shard_id, shard, removal, max_changes)
+        removed = self._update_of_move(shard_id, shard, removal)
         if set(removed.removed) != set(added.added):
             machines = {machine_id: machines[machine_id] for machine_id in removed.removed}
-            added = self._update(receiver_id, receiver, ShardChange(machines), max_changes)
+            added = self._update_of_move(receiver_id, receiver, ShardChange(machines))
         if not _can_commit_together(removed, added):
             pending.destinations.clear()
             return None
@@ -93,16 +99,12 @@
         }
         return ShardTransaction(removed.changes + added.changes, conditions)
 
-    def _largest_update(
+    def _update_of_move(
         self, shard_id: str, shard: Versioned[ShardRecord], change: ShardChange
     ) -> RecordUpdate:
-        """Return an update with as much of the change as one transaction can hold."""
-        max_changes = self._record_format.max_transaction_changes - RESERVED_RELEASE_CHANGES
-        update = self._update(shard_id, shard, change, max_changes)
-        while update.size > MAX_TRANSACTION_BYTES and max_changes > MIN_UPDATE_CHANGES:
-            max_changes = max(MIN_UPDATE_CHANGES, max_changes // 2)
-            update = self._update(shard_id, shard, change, max_changes)
-        return update
+        """Return the update of one of the two shards of a move: each has half of a transaction."""
+        max_changes = self._record_format.max_transaction_changes // 2
+        return self._update(shard_id, shard, change, max_changes, MAX_TRANSACTION_BYTES // 2)
 
     def _update(
         self,
@@ -110,15 +112,51 @@
         shard: Versioned[ShardRecord],
         change: ShardChange,
         max_changes: int,
+        max_total_bytes: int,
     ) -> RecordUpdate:
         limits = RecordLimits(
             self._record_format.compact,
             self._record_format.paged,
             self._record_format.max_value_bytes,
             max_changes,
+            max_total_bytes,
         )
         return update_record(shard_id, shard.value, shard.mod_revision, change, limits)
 
+    def _discard_refused(
+        self, shard_id: str, update: RecordUpdate, pending: PendingChanges
+    ) -> None:
+        """Discard machines that the record has no room for.
+
+        The cloud's next list of machines adds them to a shard that has room.
+        """
+        if not update.refused:
+            return
+        for machine_id in update.refused:
+            del pending.adding[machine_id]
+        log.error(
+            "shard's record has no room for machines shard=%s machines=%d first_machine=%s"
+            " max_value_bytes=%d",
+            shard_id,
+            len(update.refused),
+            update.refused[0],
+            self._record_format.max_value_bytes,
+        )
+
+    def _log_blocked(self, shard_id: str, record: ShardRecord) -> None:
+        log.error(
+            "no part of a change fits into the shard's record shard=%s machines=%d pages=%d"
+            " max_value_bytes=%d",
+            shard_id,
+            len(record.machines),
+            len(record.pages),
+            self._record_format.max_value_bytes,
+        )
+
+
+def _total_size(changes: list[Change]) -> int:
+    return sum(len(change.value or b"") for change in changes)
+
 
 def without_previous_owners(shard: Versioned[ShardRecord]) -> Versioned[ShardRecord]:
     """Return the record without its previous owners, whose response windows have ended."""
@@ -147,4 +185,6 @@
         return False
     if removed.size + added.size > MAX_TRANSACTION_BYTES:
         return False
+    if any(update.only_changes_layout and update.is_blocked for update in (removed, added)):
+        return False
     return bool(added.added) or added.only_changes_layout or removed.only_changes_layout
--- a/fallpulley/shared_records/writer.py
+++ b/fallpulley/shared_records/writer.py
@@ -11,7 +11,7 @@
 from fallpulley.shard_sizes import (
     COMPACT_ENTRY_BYTES,
     FIRST_FORMAT_ENTRY_BYTES,
-    FULL_RECORD_SHARE,
+    FULL_HEADER_SHARE,
 )
 from fallpulley.shared_records.pending_changes import PendingChanges
 from fallpulley.shared_records.registry import Registry
@@ -155,7 +155,7 @@
         """Return whether the shard has so many pages that their list nearly fills its record."""
         shard = self.registry.shards.get(shard_id)
         filled = self.registry.record_bytes.get(shard_id, 0)
-        full_bytes = FULL_RECORD_SHARE * self.context.record_format.max_value_bytes
+        full_bytes = FULL_HEADER_SHARE * self.context.record_format.max_value_bytes
         return shard is not None and bool(shard.value.pages) and filled > full_bytes
 
     # -- writing -----------------------------------------------------------------------------------
@@ -213,6 +213,8 @@
         elif not pending.has_only_moves:
             state.last_write_was_move = False
             transaction = self._transactions.build_change(shard_id, shard, pending)
+            if transaction is None:
+                state.next_write_at = self.context.now + WRITE_TIMEOUT_SECONDS
         return transaction
 
     def _send(self, shard_id: str, transaction: ShardTransaction, state: _WriteState) -> None:
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -217,8 +217,7 @@
 
     def __init__(self, cluster: SimulatedCluster, host: str, zone: str, spot: bool) -> None:
         self.cluster, self.host, self.zone, self.spot = cluster, host, zone, spot
-        number = int(host[3:])
-        self.address = f"10.1.{number >> 8}.{number & 255}:9"
+        self.address = cluster.address_of(int(host[3:]))
         self.agent_epoch, self.sequence, self.fencing_token = 1, 0, 0
         self.tasks: dict[str, dict[str, Any]] = {}
         self.controller_index = 0
@@ -394,6 +393,8 @@
     report_s = 1.0
     lease_s = 8.0
     cancel_s = 30.0
+    # Whether machines' addresses follow no pattern, so that they take more space in records.
+    irregular_addresses = False
 
     def __init__(
         self,
@@ -471,6 +472,12 @@
 
     # -- parts -----------------------------------------------------------------------------
 
+    def address_of(self, number: int) -> str:
+        if not self.irregular_addresses:
+            return f"10.1.{number >> 8}.{number & 255}:9"
+        scattered = number * 2654435761 % 2**32  # a multiplicative hash: one-to-one
+        return ".".join(str(byte) for byte in scattered.to_bytes(4, "big")) + ":9"
+
     def add_machine(self, zone: str, spot: bool) -> str:
         self._last_machine_number += 1
         host = f"vm-{self._last_machine_number:06d}"
