Read and set right records that have a machine in two pages

Callers saw machines that got no tasks, and could see a task started twice after a failover: records written before pages were rewritten as a whole have a machine in two pages, and the entry in the page listed last counted, even an unoccupied one beside an occupied one.

Cause: PageAssembly merged the pages in order, and updates changed the first page that has a machine.

Why it works: an occupied entry counts before an unoccupied one, and the next update of such a record only drops the other entries, so that every later change meets each machine once. The log has one line when the number of repeated machines changes; to find them, the entries are counted, page by page.

--- a/fallpulley/shared_records/page_assembly.py
+++ b/fallpulley/shared_records/page_assembly.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
-from fallpulley.shared_records.machine_encoding import Machines
+import logging
+
+from fallpulley.shared_records.page_repair import count_extra_copies, merge_pages_of_machines
 from fallpulley.shared_records.shard_record import MachinePage, ShardHeader, ShardRecord
 from fallpulley.shared_records.versioned import Versioned
 
+log = logging.getLogger(__name__)
+
 
 class PageAssembly:
     """The newest headers and pages received, whether or not they are of the same version."""
@@ -13,6 +17,7 @@
     def __init__(self) -> None:
         self._headers: dict[str, Versioned[ShardHeader]] = {}
         self._pages: dict[str, dict[int, MachinePage]] = {}  # shard -> its pages by number
+        self._logged_extra_copies: dict[str, int] = {}  # shard -> count that was logged last
 
     def set_header(self, shard_id: str, header: ShardHeader, mod_revision: int) -> None:
         """Store a header, which lists the versions of its pages."""
@@ -44,15 +49,21 @@
         pages = self._matching_pages(shard_id, entry.value)
         if pages is None:
             return None
-        machines: Machines = {}
-        for page in pages.values():
-            machines.update(page.machines)
+        machines = merge_pages_of_machines(pages)
         header = entry.value.record
         record = ShardRecord(
             header.owner, header.incarnation, machines, header.previous_owners, True, pages
         )
+        self._log_extra_copies(shard_id, count_extra_copies(record))
         return Versioned(record, entry.mod_revision)
 
+    def _log_extra_copies(self, shard_id: str, count: int) -> None:
+        """Log how many machines stand in a second page, if it is not what was logged last."""
+        if count == self._logged_extra_copies.get(shard_id, 0):
+            return
+        self._logged_extra_copies[shard_id] = count
+        log.error("pages of a shard repeat machines shard=%s repeated=%d", shard_id, count)
+
     def _matching_pages(self, shard_id: str, header: ShardHeader) -> dict[int, MachinePage] | None:
         """Return the pages that a header lists; None if any is missing or of another version."""
         stored = self._pages.get(shard_id, {})
--- a/fallpulley/shared_records/paged_update.py
+++ b/fallpulley/shared_records/paged_update.py
@@ -15,6 +15,7 @@
 )
 from fallpulley.shared_records.machine_encoding import Machines
 from fallpulley.shared_records.page_encoding import PageBounds
+from fallpulley.shared_records.page_repair import find_extra_copies
 from fallpulley.shared_records.page_rewrite import (
     PageChange,
     PageRewrite,
@@ -38,7 +39,11 @@
     """Return the values for as much of a change as one transaction holds."""
     if can_merge_pages(record, change.add, limits):
         return merge_pages(shard_id, record, limits)
-    return PagedUpdate(shard_id, record, mod_revision, limits).apply(change)
+    update = PagedUpdate(shard_id, record, mod_revision, limits)
+    extra_copies = find_extra_copies(record)
+    if extra_copies:
+        return update.drop_copies(extra_copies)
+    return update.apply(change)
 
 
 class PagedUpdate:
@@ -80,6 +85,15 @@
             is_blocked=not self._rewrites and bool(requests or absent),
         )
 
+    def drop_copies(self, extra_copies: dict[int, list[str]]) -> RecordUpdate:
+        """Return an update that only removes second copies of machines, given by page."""
+        self._change_pages(
+            {number: PageChange(machine_ids) for number, machine_ids in extra_copies.items()}
+        )
+        return RecordUpdate(
+            self._changes(), [], [], only_changes_layout=True, is_blocked=not self._rewrites
+        )
+
     # -- changes of stored pages -----------------------------------------------------------------
 
     def _requests_by_page(self, change: ShardChange) -> dict[int, PageChange]:
