Name the keys of stored records that cannot be used

Callers saw a shard that changed no more, with no log line that tells why: a page that is missing or malformed keeps the record that was published before, silently; a malformed value was logged without its key.

The error for a malformed value names its key now, and a check every 5 s logs the keys of pages that a header lists in vain and of pages that no header lists, once each, if they are found twice in a row: header and pages of one write arrive one after the other. Other shards are served as before.

The new tests fail before: there is no check, and the line of a malformed page has no key.

--- a/fallpulley/shared_records/decoding.py
+++ b/fallpulley/shared_records/decoding.py
@@ -13,8 +13,8 @@
 T = TypeVar("T")
 
 
-def decode_or_none(value: bytes | None, decode: Callable[[bytes], T]) -> T | None:
-    """Return the record that a value holds; None if the key was deleted or the value is malformed.
+def decode_or_none(key: str, value: bytes | None, decode: Callable[[bytes], T]) -> T | None:
+    """Return the record under a key; None if the key was deleted or its value is malformed.
 
     `decode` must raise `msgspec.MsgspecError` for a malformed value.
     """
@@ -23,5 +23,5 @@
     try:
         return decode(value)
     except msgspec.MsgspecError:
-        log.error("stored record is malformed and treated as absent value=%.80r", value)
+        log.error("stored record is malformed and treated as absent key=%s value=%.80r", key, value)
         return None
--- a/fallpulley/shared_records/page_assembly.py
+++ b/fallpulley/shared_records/page_assembly.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from fallpulley.shared_records.keys import page_key
 from fallpulley.shared_records.page_repair import count_extra_copies, merge_pages_of_machines
 from fallpulley.shared_records.shard_record import MachinePage, ShardHeader, ShardRecord
 from fallpulley.shared_records.versioned import Versioned
@@ -57,6 +58,21 @@
         self._log_extra_copies(shard_id, count_extra_copies(record))
         return Versioned(record, entry.mod_revision)
 
+    def mismatched_page_keys(self) -> set[str]:
+        """Return the keys of pages that a header lists in vain, and of those that none lists."""
+        stored = {
+            (shard_id, number): page.version
+            for shard_id, pages in self._pages.items()
+            for number, page in pages.items()
+        }
+        listed = {
+            (shard_id, number): version
+            for shard_id, header in self._headers.items()
+            for number, version in header.value.page_versions.items()
+        }
+        mismatched = stored.items() ^ listed.items()
+        return {page_key(shard_id, number) for (shard_id, number), _ in mismatched}
+
     def _log_extra_copies(self, shard_id: str, count: int) -> None:
         """Log how many machines stand in a second page, if it is not what was logged last."""
         if count == self._logged_extra_copies.get(shard_id, 0):
--- a/fallpulley/shared_records/registry.py
+++ b/fallpulley/shared_records/registry.py
@@ -72,7 +72,7 @@
         Returns the id of the shard whose published record changed, or None if none did.
         """
         if key.startswith(SHARD_PREFIX):
-            return self._on_shard_record(key[len(SHARD_PREFIX) :], value, mod_revision)
+            return self._on_shard_record(key, value, mod_revision)
         if key.startswith(PAGE_PREFIX):
             return self._on_page(key, value)
         self._on_small_record(key, value, mod_revision)
@@ -80,7 +80,7 @@
 
     def _on_small_record(self, key: str, value: bytes | None, mod_revision: int) -> None:
         if key.startswith(SESSION_PREFIX):
-            self._on_session(key[len(SESSION_PREFIX) :], value, mod_revision)
+            self._on_session(key, value, mod_revision)
         elif key == FORMAT_KEY:
             self._on_format_marker(value)
         elif key == LEADER_KEY:
@@ -88,12 +88,13 @@
         elif key.startswith(RELEASE_PREFIX):
             self._on_release_record(key, value)
         elif key.startswith(TEAM_PREFIX):
-            self._on_team(key[len(TEAM_PREFIX) :], value)
+            self._on_team(key, value)
         elif key == CATALOG_KEY:
             self._on_catalog(value)
 
-    def _on_session(self, controller_id: str, value: bytes | None, mod_revision: int) -> None:
-        session = decode_or_none(value, _decode_session)
+    def _on_session(self, key: str, value: bytes | None, mod_revision: int) -> None:
+        controller_id = key[len(SESSION_PREFIX) :]
+        session = decode_or_none(key, value, _decode_session)
         if session is None:
             self.sessions.pop(controller_id, None)
             return
@@ -107,12 +108,12 @@
         self.known_formats[controller_id] = session.record_format
 
     def _on_format_marker(self, value: bytes | None) -> None:
-        marker = decode_or_none(value, _decode_format_marker)
+        marker = decode_or_none(FORMAT_KEY, value, _decode_format_marker)
         if marker is not None:
             self.record_format = max(self.record_format, marker.record_format)
 
     def _on_leader(self, value: bytes | None, mod_revision: int) -> None:
-        leader = decode_or_none(value, _decode_session)
+        leader = decode_or_none(LEADER_KEY, value, _decode_session)
         self.leader = None if leader is None else Versioned(leader, mod_revision)
         controller_id = leader.controller_id if leader is not None else "none"
         log.info("leader changed controller=%s revision=%d", controller_id, mod_revision)
@@ -120,28 +121,29 @@
     def _on_release_record(self, key: str, value: bytes | None) -> None:
         for machine_id in self.machines_by_release_record.pop(key, ()):
             self.release_record_keys.pop(machine_id, None)
-        record = decode_or_none(value, _decode_release_record)
+        record = decode_or_none(key, value, _decode_release_record)
         if record is not None:
             machine_ids = record.machine_ids or [key[len(RELEASE_PREFIX) :]]
             self.machines_by_release_record[key] = machine_ids
             self.release_record_keys.update(dict.fromkeys(machine_ids, key))
 
-    def _on_team(self, team: str, value: bytes | None) -> None:
-        record = decode_or_none(value, _decode_team_shard)
+    def _on_team(self, key: str, value: bytes | None) -> None:
+        record = decode_or_none(key, value, _decode_team_shard)
         if record is not None:
-            self.team_shards[team] = record.shard_id
+            self.team_shards[key[len(TEAM_PREFIX) :]] = record.shard_id
 
     def _on_catalog(self, value: bytes | None) -> None:
-        catalog = decode_or_none(value, _decode_catalog)
+        catalog = decode_or_none(CATALOG_KEY, value, _decode_catalog)
         if catalog is not None:
             self.machine_types = {
                 machine_type.name: machine_type for machine_type in catalog.machine_types
             }
             self._processor_counts.clear()
 
-    def _on_shard_record(self, shard_id: str, value: bytes | None, mod_revision: int) -> str | None:
+    def _on_shard_record(self, key: str, value: bytes | None, mod_revision: int) -> str | None:
+        shard_id = key[len(SHARD_PREFIX) :]
         self.record_bytes[shard_id] = len(value or b"")
-        header = decode_or_none(value, decode_shard_header)
+        header = decode_or_none(key, value, decode_shard_header)
         if header is not None and not header.record.compact:
             self.first_format_shards.add(shard_id)
         else:
@@ -161,10 +163,14 @@
         if parsed is None:
             return None
         shard_id, number = parsed
-        page = decode_or_none(value, decode_page)
+        page = decode_or_none(key, value, decode_page)
         self._assembly.set_page(shard_id, number, page)
         return None if page is None else self._publish_assembled(shard_id)
 
+    def mismatched_page_keys(self) -> set[str]:
+        """Return the keys of pages that a header lists in vain, and of those that none lists."""
+        return self._assembly.mismatched_page_keys()
+
     def _publish_assembled(self, shard_id: str) -> str | None:
         """Publish a shard's record if its pages are complete.
 
--- a/fallpulley/shared_records/writer.py
+++ b/fallpulley/shared_records/writer.py
@@ -13,6 +13,7 @@
     FIRST_FORMAT_ENTRY_BYTES,
     FULL_HEADER_SHARE,
 )
+from fallpulley.shared_records.page_check import PageCheck
 from fallpulley.shared_records.pending_changes import PendingChanges
 from fallpulley.shared_records.registry import Registry
 from fallpulley.shared_records.shard_record import MachineEntry, ShardRecord
@@ -59,6 +60,7 @@
         self._write_states: defaultdict[str, _WriteState] = defaultdict(_WriteState)
         # Own shards whose previous owners no longer respond to any machine.
         self._shards_without_previous_owners: set[str] = set()
+        self._page_check = PageCheck(registry)
         self._transactions = TransactionBuilder(context, registry, self.addresses)
 
     # -- requests --------------------------------------------------------------------------------
@@ -162,6 +164,7 @@
 
     def tick(self) -> None:
         """Write pending changes of all shards that need not wait for an earlier write."""
+        self._page_check.tick(self.context.now)
         shard_ids = {
             shard_id for shard_id, pending in self._pending.items() if not pending.is_empty
         }
--- a/tests/test_page_repair.py
+++ b/tests/test_page_repair.py
@@ -10,9 +10,12 @@
 from fallpulley.shared_records.keys import page_key
 from fallpulley.shared_records.layout import header_change
 from fallpulley.shared_records.machine_encoding import Machines, pack_runs
+from fallpulley.shared_records.page_check import PageCheck
+from fallpulley.shared_records.record_update import update_record
 from fallpulley.shared_records.shard_change import RecordLimits, ShardChange
 from fallpulley.shared_records.shard_record import (
     MachinePage,
+    ShardRecord,
     decode_shard_header,
     encode_page,
 )
@@ -105,3 +108,59 @@
 
 def recorded_machines(cluster: SimulatedCluster) -> set[str]:
     return set(cluster.controllers["node-0"].components.registry.shard_of_machine)
+
+
+def page_errors(caplog: pytest.LogCaptureFixture) -> list[str]:
+    return [record.getMessage() for record in caplog.records if "key=" in record.getMessage()]
+
+
+def test_keys_of_malformed_missing_and_unlisted_pages_are_logged_and_other_shards_served(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a shard that is not served without any log line that tells why."""
+    stored = Stored(RecordLimits(True, True, 1945, 4))
+    stored.add_all(fleet(1, 1200))
+    registry = stored.registry
+    registry.on_key_changed("live/block/c", ShardRecord("n", "i", {}).encode(True, 2000), 9000)
+    check = PageCheck(registry)
+    with caplog.at_level(logging.ERROR):
+        check.tick(0.0)
+        registry.on_key_changed("live/machines/b/0", b'{"runs": 1}', 9001)
+        registry.on_key_changed("live/machines/b/1", None, 9001)
+        unlisted = encode_page(MachinePage(3, fleet(5000, 1)))
+        registry.on_key_changed("live/machines/b/99", unlisted, 9001)
+        registry.on_key_changed("live/block/d", b"[]", 9001)
+        for now in range(1, 30):
+            check.tick(float(now))
+    errors = page_errors(caplog)
+    assert [line.partition(" key=")[2].partition(" ")[0] for line in errors] == [
+        "live/machines/b/0",
+        "live/block/d",
+        "live/machines/b/0",
+        "live/machines/b/1",
+        "live/machines/b/99",
+    ]
+    assert registry.shards.keys() == {"b", "c"}
+    assert len(registry.shards["b"].value.machines) == 1200
+
+
+def test_pages_of_a_write_that_is_still_arriving_are_not_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against an error for each write of which a check meets the header alone."""
+    stored = Stored(RecordLimits(True, True, 1945, 4))
+    stored.add_all(fleet(1, 1200))
+    check = PageCheck(stored.registry)
+    with caplog.at_level(logging.ERROR):
+        check.tick(0.0)
+        update = update_record(
+            "b", stored.record, stored.revision, ShardChange(fleet(5000, 1)), stored.limits
+        )
+        header, *pages = update.changes
+        stored.registry.on_key_changed(header.key, header.value, stored.revision + 1)
+        check.tick(10.0)
+        for change in pages:
+            stored.registry.on_key_changed(change.key, change.value, stored.revision + 1)
+        check.tick(20.0)
+        check.tick(30.0)
+    assert not page_errors(caplog)
