One name each for the tolerance of amounts, a time long ago and the time of an exit

EPSILON and TOLERANCE were the same tolerance, NEVER and ANY_TIME the same time, and STOP_SECONDS stood twice. Values and behaviour stay as they were; `_covers` gives way to `Resources.fits_in`, which compares the same amounts.

--- a/fallpulley/jobs/open_job_state.py
+++ b/fallpulley/jobs/open_job_state.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from fallpulley.jobs.pipelines import DependencyNode
+from fallpulley.timing import LONG_AGO
 
 # The longest back-off of a job that has failed on more than one machine, in lease durations.
 MAX_RETRY_BACKOFF_LEASES = 6.0
@@ -17,9 +18,6 @@
 # time for the rest of the job and the longest path after it.
 DEADLINE_RISK_FACTOR = 1.25
 
-# A time before all others: a retry is allowed at any time.
-ANY_TIME = float("-inf")
-
 
 class TaskQueue:
     """The indices of the tasks that wait for a machine, in the order in which they start.
@@ -87,7 +85,7 @@
 
     failed_machines: set[str] = msgspec.field(default_factory=set)  # ids
     failure_count: int = 0  # on all machines together
-    not_before: float = ANY_TIME  # seconds of the monotonic clock
+    not_before: float = LONG_AGO  # seconds of the monotonic clock
 
     def record_failure(self, machine_id: str, now: float, lease_s: float) -> None:
         """Record that a task failed on a machine, and set the back-off of the job.
--- a/fallpulley/placement/machine_pool.py
+++ b/fallpulley/placement/machine_pool.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from fallpulley.placement.profile import EPSILON, Profile
+from fallpulley.placement.profile import Profile
 from fallpulley.placement.queue import PendingJob, is_eligible
 from fallpulley.placement.snapshot import MachineSnapshot
-from fallpulley.resources import Resources
+from fallpulley.resources import TOLERANCE, Resources
 
 # Length of a finish unit, as a share of the run-time estimate. Finish times are rounded to finish
 # units before they are compared, and cost decides between equal ones: machines of one type differ
@@ -68,7 +68,7 @@
             profile = snapshot.profile = Profile(self.now, snapshot.capacity, snapshot.running)
         profile.advance_to(self.now)
         self._profiles.append(profile)
-        if profile.cpus[0] > EPSILON or profile.gpus[0] > EPSILON:
+        if profile.cpus[0] > TOLERANCE or profile.gpus[0] > TOLERANCE:
             self._with_room.append(index)
         else:
             self._full.append((profile.next_change(), index))
--- a/fallpulley/placement/profile.py
+++ b/fallpulley/placement/profile.py
@@ -5,10 +5,10 @@
 from bisect import bisect_right
 from math import inf
 
-from fallpulley.resources import Resources
+from fallpulley.resources import TOLERANCE, Resources
 
-# Tolerance for rounding errors from adding and subtracting decimal amounts.
-EPSILON = 1e-6
+# How long an overdue task counts as holding its resources: until it is reported as ended.
+OVERDUE_TASK_SECONDS = 1e-6
 
 
 # The estimated end of a running task, and the processors, GPUs and memory (GB) that it
@@ -46,7 +46,7 @@
                 if len(self.times) > 1:
                     self.cpus[-1], self.gpus[-1], self.memory_gb[-1] = cpus, gpus, memory_gb
                     continue
-                ends_at = now + EPSILON  # an overdue task holds its resources until reported ended
+                ends_at = now + OVERDUE_TASK_SECONDS
             self.times.append(ends_at)
             self.cpus.append(cpus)
             self.gpus.append(gpus)
@@ -76,9 +76,9 @@
 
     def earliest_start(self, resources: Resources, duration_s: float) -> float | None:
         """Return the first time from which the resources are free for the duration, or None."""
-        min_cpus = resources.cpus - EPSILON
-        min_gpus = resources.gpus - EPSILON
-        min_memory_gb = resources.memory_gb - EPSILON
+        min_cpus = resources.cpus - TOLERANCE
+        min_gpus = resources.gpus - TOLERANCE
+        min_memory_gb = resources.memory_gb - TOLERANCE
         times, cpus, gpus, memory_gb = self.times, self.cpus, self.gpus, self.memory_gb
         count = len(times)
         first = 0
@@ -129,7 +129,7 @@
     def fits_now(self, resources: Resources) -> bool:
         """Return whether the resources are free at the beginning of the profile."""
         return (
-            self.cpus[0] >= resources.cpus - EPSILON
-            and self.memory_gb[0] >= resources.memory_gb - EPSILON
-            and self.gpus[0] >= resources.gpus - EPSILON
+            self.cpus[0] >= resources.cpus - TOLERANCE
+            and self.memory_gb[0] >= resources.memory_gb - TOLERANCE
+            and self.gpus[0] >= resources.gpus - TOLERANCE
         )
--- a/fallpulley/placement/victims.py
+++ b/fallpulley/placement/victims.py
@@ -12,7 +12,6 @@
 
 import msgspec
 
-from fallpulley.placement.profile import EPSILON
 from fallpulley.placement.queue import PendingJob, is_eligible
 from fallpulley.placement.snapshot import MachineSnapshot
 from fallpulley.resources import Resources
@@ -151,25 +150,13 @@
     chosen: list[Victim] = []
     lost_work = 0.0
     for victim in victims:
-        if _covers(free, job.resources):
+        if job.resources.fits_in(free):
             break
         if victim.priority_level >= job.priority_level:
             continue
         chosen.append(victim)
         lost_work += victim.lost_work
         free = free.plus(victim.resources)
-    if not _covers(free, job.resources):
+    if not job.resources.fits_in(free):
         return None
     return _VictimSet(lost_work, chosen)
-
-
-def _covers(free: Resources, needed: Resources) -> bool:
-    """Return whether the resources are free, with the tolerance of `Profile.fits_now`.
-
-    With the same tolerance, a task that fits here also fits in the next plan.
-    """
-    return (
-        free.cpus >= needed.cpus - EPSILON
-        and free.gpus >= needed.gpus - EPSILON
-        and free.memory_gb >= needed.memory_gb - EPSILON
-    )
--- a/fallpulley/scheduling/preemption.py
+++ b/fallpulley/scheduling/preemption.py
@@ -12,6 +12,7 @@
 from fallpulley.placement.victims import Preemption, Victim, choose_victims
 from fallpulley.resources import Resources
 from fallpulley.scheduling.age_bound import first_task_count
+from fallpulley.scheduling.snapshot_builder import TASK_EXIT_SECONDS
 from fallpulley.shards.shard import Shard
 from fallpulley.workers.machine import TaskRun
 from fallpulley.workers.messages import TaskState
@@ -19,9 +20,9 @@
 # Read for every task: looking up an enum member takes ten times as long as a module constant.
 _SAVING = TaskState.SAVING
 
-# Estimated delay from a stop to the start of the urgent task in its place: this share of a
-# heartbeat interval, plus the seconds that a stopped task needs to exit.
-STOP_HEARTBEAT_INTERVALS, STOP_SECONDS = 0.5, 1.0
+# Estimated delay until a stop reaches its machine, as a share of a heartbeat interval. The urgent
+# task in its place starts once the stopped task has exited.
+STOP_HEARTBEAT_INTERVALS = 0.5
 # How long urgent tasks may wait for resources, as a share of the `wait` objective of their class:
 # the rest is for the stop, the next heartbeat and the image fetch.
 MAX_ROOM_WAIT_SHARE = 0.25
@@ -110,7 +111,7 @@
     # than this. Without the limit, every plan stopped further tasks for a task that was already
     # late, while the first stops were still in progress.
     min_start_delay_s = (
-        STOP_HEARTBEAT_INTERVALS * context.timing.heartbeat_interval_s + STOP_SECONDS
+        STOP_HEARTBEAT_INTERVALS * context.timing.heartbeat_interval_s + TASK_EXIT_SECONDS
     )
     for job in pending:
         max_wait_s = max_waits.get(shard.jobs[job.job_id].spec.job_class)
--- a/fallpulley/scheduling/snapshot_builder.py
+++ b/fallpulley/scheduling/snapshot_builder.py
@@ -19,7 +19,7 @@
 # The least remaining time of a fetch in progress, also when its estimate has passed.
 MIN_FETCH_SECONDS = 0.5
 # The time that a task needs to exit after a stop, in addition to saving its checkpoint.
-STOP_SECONDS = 1.0
+TASK_EXIT_SECONDS = 1.0
 # Lower bound of a machine type's fetch rate, so that a fetch time can be computed if the rate is 0.
 MIN_FETCH_GB_PER_SECOND = 1e-3
 
@@ -111,7 +111,7 @@
             ready_at = images.get(job.spec.image, now) if job is not None else now
             remaining_s = estimate_s + max(0.0, ready_at - now)
         if run.stop_grace_s is not None and job is not None:
-            remaining_s = min(remaining_s, job.spec.checkpoint_save_s + STOP_SECONDS)
+            remaining_s = min(remaining_s, job.spec.checkpoint_save_s + TASK_EXIT_SECONDS)
         return remaining_s
 
     def _estimate_s(self, job: OpenJob) -> float:
--- a/fallpulley/shards/direct_commands.py
+++ b/fallpulley/shards/direct_commands.py
@@ -11,8 +11,8 @@
 from fallpulley.controller_context import ControllerContext
 from fallpulley.effects import Response
 from fallpulley.shards.shard import Shard
+from fallpulley.timing import LONG_AGO
 from fallpulley.workers.machine import Machine
-from fallpulley.workers.machine_state import NEVER
 from fallpulley.workers.messages import DirectCommand, Heartbeat, TaskCommand
 
 # Minimum time between two prompts for a heartbeat, in leases: a worker reacts to a higher token
@@ -102,4 +102,4 @@
             # The command was refused because it was for an older epoch. Send the next probe for the
             # reported epoch, without delay.
             machine.heartbeat.agent_epoch = status.agent_epoch
-            machine.fencing.next_probe_at = NEVER
+            machine.fencing.next_probe_at = LONG_AGO
--- a/fallpulley/timing.py
+++ b/fallpulley/timing.py
@@ -12,6 +12,9 @@
 # Share of the time in which a cancelled task must have ended (`cancel_s`) that is reserved for
 # responses in flight, slow steps and clock drift.
 CANCELLATION_SLACK_SHARE = 0.1
+# A time of the monotonic clock before all others: of events that have not occurred, and of waits
+# that are over.
+LONG_AGO = float("-inf")
 # Share of the heartbeat interval by which a worker's heartbeat may be late.
 HEARTBEAT_JITTER_SHARE = 0.25
 
--- a/fallpulley/workers/machine_state.py
+++ b/fallpulley/workers/machine_state.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from fallpulley.timing import LONG_AGO
 from fallpulley.workers.messages import Heartbeat, HeartbeatVersion, TaskStatus
 
 # Weight, in samples, of the prior assumption that a machine is as fast as all others: after this
@@ -24,9 +25,6 @@
 MIN_RUN_TIME_RATIO = 0.2
 MAX_RUN_TIME_RATIO = 8.0
 
-# A time before all others: of events that have not occurred, and of waits that have long ended.
-NEVER = float("-inf")
-
 
 class HeartbeatState(msgspec.Struct):
     """The newest state that the machine has reported, and its latest heartbeat and response."""
@@ -38,8 +36,8 @@
     newest_received_version: HeartbeatVersion = (0, -1)
     online: bool = False  # its lease has not expired since its last heartbeat
     ever_online: bool = False  # it has been online since this owner acquired it
-    received_at: float = NEVER  # time of the last heartbeat
-    responded_at: float = NEVER  # time of the last response, which may have renewed its lease
+    received_at: float = LONG_AGO  # time of the last heartbeat
+    responded_at: float = LONG_AGO  # time of the last response, which may have renewed its lease
     # Tasks in the newest known state, in the order reported.
     reported_tasks: list[TaskStatus] = msgspec.field(default_factory=list)
     start_unacknowledged: bool = False  # a start was sent, and no heartbeat applied since
@@ -75,11 +73,11 @@
     # Since when its heartbeats have arrived without showing that this owner's responses reach it;
     # None if the responses reach it.
     unacknowledged_since: float | None = None
-    unconfirmed_heartbeat_at: float = NEVER  # last heartbeat without a token of this owner
+    unconfirmed_heartbeat_at: float = LONG_AGO  # last heartbeat without a token of this owner
     unconfirmed_responses: int = 0  # responses sent before it reported a token of this owner
-    prompted_at: float = NEVER  # when a raised token last prompted a heartbeat
+    prompted_at: float = LONG_AGO  # when a raised token last prompted a heartbeat
     probe_in_flight: bool = False  # a probe (an empty direct command) has no outcome yet
-    next_probe_at: float = NEVER  # earliest time of the next probe
+    next_probe_at: float = LONG_AGO  # earliest time of the next probe
     probe_failures: int = 0  # probes that the worker did not respond to
 
     def advance_token(self, newest: int) -> bool:
@@ -147,7 +145,7 @@
         default_factory=set
     )  # ids of jobs with a task that failed here
     completed_tasks: int = 0
-    refuses_tasks_until: float = NEVER  # no bookings before then, after a refused start
+    refuses_tasks_until: float = LONG_AGO  # no bookings before then, after a refused start
 
 
 class DepartureState(msgspec.Struct):
