Save all chunks of a job's progress, not only the first four

Callers could see long completed tasks of a large job start again after a failover: where more than four progress values had unsaved completions, four were written and the rest waited for the job's next completion.

Cause: _write_progress cleared unsaved_since whether or not all unsaved chunks were written.

--- a/fallpulley/persistence/job_persistence.py
+++ b/fallpulley/persistence/job_persistence.py
@@ -150,8 +150,10 @@
     def _write_progress(self, job: OpenJob) -> None:
         compact = self.context.record_format.compact
         tasks_per_chunk = self.tasks_per_chunk if compact else self.first_format_tasks_per_chunk
-        job.progress.unsaved_since = None
-        for number in job.progress.unsaved_chunks(tasks_per_chunk)[:MAX_CHUNKS_AT_ONCE]:
+        unsaved_chunks = job.progress.unsaved_chunks(tasks_per_chunk)
+        if len(unsaved_chunks) <= MAX_CHUNKS_AT_ONCE:
+            job.progress.unsaved_since = None
+        for number in unsaved_chunks[:MAX_CHUNKS_AT_ONCE]:
             self._write_chunk(
                 job, number, tasks_per_chunk, chunk_name(number, tasks_per_chunk, compact)
             )
