Wait for all responses to a job's progress writes before the next ones

Callers saw nothing directly; owners of large jobs sent writes that could only conflict, each followed by a read.

Cause: write_pending was one flag for up to four writes and for reads after conflicts, and the first response cleared it, so the next turn wrote chunks whose first write was still under way.

Evidence: the new test had four writes queued while three responses were missing; now there are none until all have come, because the requests in flight are counted. Every write and request of the state client gets exactly one response, also if it expires in the queue.

--- a/fallpulley/jobs/completion.py
+++ b/fallpulley/jobs/completion.py
@@ -119,7 +119,7 @@
         # Since when (monotonic clock, seconds) a completion has been waiting to be written; None if
         # none is.
         self.unsaved_since: float | None = None
-        self.write_pending = False  # whether a write or a read of a progress value is under way
+        self.requests_in_flight = 0  # writes and reads of progress values without a response yet
         self.mod_revisions: dict[str, int] = {}  # chunk name -> revision of its progress value
 
     def record_completion(self, index: int, now: float) -> bool:
--- a/fallpulley/persistence/job_persistence.py
+++ b/fallpulley/persistence/job_persistence.py
@@ -73,7 +73,7 @@
                     self._write_completion(shard, job)
             elif (
                 job.progress.unsaved_since is not None
-                and not job.progress.write_pending
+                and not job.progress.requests_in_flight
                 and now > job.progress.unsaved_since + delay_s
                 and self._may_queue_progress()
             ):
@@ -160,13 +160,13 @@
 
     def _write_chunk(self, job: OpenJob, number: int, tasks_per_chunk: int, name: str) -> None:
         progress = job.progress
-        progress.write_pending = True
+        progress.requests_in_flight += 1
         key = progress_key(job.job_id, name)
         content = progress.completed.chunk(number, tasks_per_chunk)
         value = msgspec.json.encode(Progress(base64.b64encode(content).decode()))
 
         def on_result(result: WriteResult) -> None:
-            progress.write_pending = False
+            progress.requests_in_flight -= 1
             if result.committed:
                 progress.mod_revisions[name] = result.revision
                 progress.durable.replace_chunk(number, tasks_per_chunk, content)
@@ -183,10 +183,10 @@
     def _reload_chunk(self, job: OpenJob, name: str) -> None:
         """Read and merge a stored chunk that another write, perhaps a delayed one, has changed."""
         progress = job.progress
-        progress.write_pending = True
+        progress.requests_in_flight += 1
 
         def on_response(response: Response) -> None:
-            progress.write_pending = False
+            progress.requests_in_flight -= 1
             if response.status == HTTPStatus.NOT_FOUND:
                 progress.mod_revisions.pop(name, None)
             elif response.ok:
--- a/tests/test_progress_writes.py
+++ b/tests/test_progress_writes.py
@@ -67,3 +67,18 @@
             saved += 1
     assert saved == progress.chunk_count
     assert progress.job.progress.durable.count == progress.chunk_count
+
+
+def test_next_writes_of_progress_wait_for_all_responses_of_the_last_ones() -> None:
+    """Guards against a chunk written a second time, on a revision that its first write changes."""
+    progress = ProgressOfOneJob()
+    progress.complete_a_task_of_each_chunk()
+    first, *others = progress.queue_writes()
+    first.on_result(WriteResult(HTTPStatus.OK, 2))
+    progress.job.progress.record_completion(1, progress.context.now)
+    assert progress.queue_writes() == []
+    for write in others:
+        write.on_result(WriteResult(HTTPStatus.OK, 3))
+    next_keys = written_keys(progress.queue_writes())
+    assert next_keys.isdisjoint(written_keys(others))
+    assert len(next_keys) == MAX_CHUNKS_AT_ONCE
