Ignore pages of an aborted machine list

Callers could see machines missing from the cloud's list for a while: the answer to a page of an aborted list, of an earlier term of this controller, was taken for a page of the list being read, and an old last page ended it at once.

A response counts only for the list that it was requested for.

--- a/fallpulley/fleet/machine_list.py
+++ b/fallpulley/fleet/machine_list.py
@@ -74,20 +74,28 @@
 
     def _request_page(self, after: str) -> None:
         path = f"/rentals?page={LIST_PAGE_SIZE}" + (f"&after={after}" if after else "")
-        if not self.cloud.call("GET", path, None, self._on_page):
+        listing = self._partial_list
+
+        def on_response(response: Response) -> None:
+            # A page of a list that was aborted meanwhile does not belong to the present one.
+            if listing is not None and listing is self._partial_list:
+                self._on_page(response, listing)
+
+        if not self.cloud.call("GET", path, None, on_response):
             self._partial_list = None
 
-    def _on_page(self, response: Response) -> None:
+    def _on_page(self, response: Response, listing: dict[str, ListedMachine]) -> None:
+        """Add a page to the list that is being read; publish the list after its last page."""
         page = decode_ok(response, MachineList)
-        if page is None or self._partial_list is None:
+        if page is None:
             self._partial_list = None
             return
         for machine in page.machines:
-            self._partial_list[machine.machine_id] = machine
+            listing[machine.machine_id] = machine
         if page.has_next and page.machines:
             self._page_after = page.machines[-1].machine_id
             return
-        self._publish(self._partial_list)
+        self._publish(listing)
 
     def _publish(self, machines: dict[str, ListedMachine]) -> None:
         """Replace the complete list; delay the next one to keep within `LIST_CALL_SHARE`."""
