Count flags and addresses, too, before merging the pages of a shard

Why it works: pages are merged only if the machines as they are and as the requested change leaves them fill at most half of a value, so the next update carries the change out in that value.

--- a/fallpulley/shared_records/layout.py
+++ b/fallpulley/shared_records/layout.py
@@ -8,7 +8,7 @@
 from fallpulley.shared_records.keys import SHARD_PREFIX, page_key
 from fallpulley.shared_records.machine_encoding import Machines
 from fallpulley.shared_records.page_encoding import EncodedPage
-from fallpulley.shared_records.shard_change import RecordLimits, RecordUpdate
+from fallpulley.shared_records.shard_change import RecordLimits, RecordUpdate, ShardChange
 from fallpulley.shared_records.shard_record import MachinePage, ShardRecord
 from fallpulley.state.transactions import MAX_TRANSACTION_BYTES, Change
 
@@ -141,14 +141,25 @@
     return RecordUpdate(changes, [], [], True)
 
 
-def can_merge_pages(record: ShardRecord, add: Machines, limits: RecordLimits) -> bool:
+def can_merge_pages(record: ShardRecord, change: ShardChange, limits: RecordLimits) -> bool:
     """Return whether the machines of all pages are to be merged into a single value.
 
-    They are if they are few enough together with the machines to add, if all of these fill at most
-    half of a value, and if one transaction can delete all pages. Without the machines to add, the
-    record would be merged, outgrow its value with them, and be split again, for ever.
+    They are if they are few enough, fill at most half of a value, before the requested change and
+    after it, and if one transaction can delete all pages. A record that outgrows its value with
+    the next update would be split again, and merged again, for ever.
     """
-    machines = record.machines | add
-    if len(machines) > MAX_MERGED_MACHINES or len(record.pages) + 1 > limits.max_changes:
+    if len(record.machines.keys() | change.add.keys()) > MAX_MERGED_MACHINES:
         return False
-    return len(encode_single_value(record, machines, limits)) * 2 <= limits.max_value_bytes
+    if len(record.pages) + 1 > limits.max_changes:
+        return False
+    removed = set(change.remove)
+    changed = {
+        machine_id: entry
+        for machine_id, entry in (change.add | record.machines).items()
+        if machine_id not in removed
+    }
+    change.apply_to_entries(changed)
+    return all(
+        2 * len(encode_single_value(record, machines, limits)) <= limits.max_value_bytes
+        for machines in (record.machines, changed)
+    )
--- a/fallpulley/shared_records/paged_update.py
+++ b/fallpulley/shared_records/paged_update.py
@@ -37,7 +37,7 @@
     shard_id: str, record: ShardRecord, mod_revision: int, change: ShardChange, limits: RecordLimits
 ) -> RecordUpdate:
     """Return the values for as much of a change as one transaction holds."""
-    if can_merge_pages(record, change.add, limits):
+    if can_merge_pages(record, change, limits):
         return merge_pages(shard_id, record, limits)
     update = PagedUpdate(shard_id, record, mod_revision, limits)
     extra_copies = find_extra_copies(record)
--- a/tests/test_page_splits.py
+++ b/tests/test_page_splits.py
@@ -189,6 +189,26 @@
     assert len(stored.record.machines) == 200
 
 
+def test_machines_that_outgrow_a_value_with_their_addresses_are_not_merged_and_split_for_ever() -> (
+    None
+):
+    """Guards against the same where not the machines are large, but what is filled in."""
+    stored = Stored(RecordLimits(True, True, 1945, 4))
+    stored.add_all(without_addresses(fleet(1, 32)))
+    add = without_addresses(fleet(500, 200))
+    addresses = irregular_addresses(add | stored.record.machines)
+    assert not request_count(apply_all(stored, ShardChange(add, addresses=addresses)))
+
+
+def test_machines_that_outgrow_a_value_with_their_flags_are_not_merged_and_split_for_ever() -> None:
+    """Guards against the same where flags that differ from machine to machine take the space."""
+    stored = Stored(RecordLimits(True, True, 400, 4))
+    stored.add_all(fleet(1, 250))
+    generator = random.Random(1)
+    flags = {machine_id: generator.random() < 0.5 for machine_id in sorted(stored.record.machines)}
+    assert not request_count(apply_all(stored, ShardChange(occupancy=flags)))
+
+
 @pytest.mark.parametrize(("paged", "max_value_bytes"), [(True, 1945), (False, 400)])
 def test_machine_added_to_the_record_that_has_it_keeps_its_entry(
     paged: bool, max_value_bytes: int
