List a shard whose header is full of small pages as known red

With values of 400 bytes and 16 changes, the property's seed 1025 ends with 38 pages, 124 removals and 27 flags for which no page has room: the header lists as many pages as it can, so none can be split. Nothing is lost or written again and again; the log says that no part of the change fits. Two small pages would have to be merged, which no update does yet.

--- a/tests/test_page_splits.py
+++ b/tests/test_page_splits.py
@@ -239,3 +239,13 @@
     stored.add_all(machines)
     gone = [*sorted(machines)[:1], "vm-999999"]
     assert stored.update(ShardChange(remove=gone)).removed == gone[:1]
+
+
+def test_removals_and_flags_are_written_though_the_header_has_no_room_for_another_page() -> None:
+    """Guards against a shard of many tiny values that can release no machine any more.
+
+    Its header lists as many pages as a value of 400 bytes holds; all are full, and none can be
+    split, though others have become nearly empty.
+    """
+    for left in play_changes(RecordLimits(True, True, 400, 16), seed=1025):
+        assert not left.remove and not left.occupancy
