--- a/review/standins.py
+++ b/review/standins.py
@@ -367,7 +367,6 @@
         self.pieces: dict[str, Piece] = {}
         self.images: dict[str, float] = {}
         self.fetching: dict[str, float] = {}
-        self.done: set[str] = set()
         self.lease_from = 0.0
         self.node = random.randrange(len(platform.labels))
         self.change = asyncio.Event()
