Log which machines a job avoids and what an owner asks the leader for

The log could not tell why a pending job gets no machine.

The first line comes once for each machine of a job, the second when an offer is asked for that the sizing before did not ask for.

--- a/fallpulley/fleet/autoscaler.py
+++ b/fallpulley/fleet/autoscaler.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import logging
+
 from fallpulley.cloud.messages import DEFAULT_BOOT_SECONDS, MachineType
+from fallpulley.cloud.offer import Offer
 from fallpulley.controller_context import ControllerContext
 from fallpulley.fleet.abandonment import AbandonReason, MachineAbandoner
 from fallpulley.fleet.demand import demand_groups
 from fallpulley.fleet.provider import MachineProvider
-from fallpulley.fleet.sizing import SizingPlan, SupplyUnit, size_fleet
+from fallpulley.fleet.sizing import PlannedRental, SizingPlan, SupplyUnit, size_fleet
 from fallpulley.fleet.smoothing import DemandSmoother
 from fallpulley.fleet.supply import added_supply, machine_supply, rented_supply
 from fallpulley.mesh.messages import MachineRequest
@@ -15,6 +18,8 @@
 from fallpulley.shared_records.registry import Registry
 from fallpulley.shared_records.writer import ShardWriter
 
+log = logging.getLogger(__name__)
+
 # Least time between two sizings of a shard's fleet, in seconds: far below any boot time.
 SIZING_INTERVAL_SECONDS = 1.0
 # Largest share of the controller's time that sizing may take; the interval between two sizings is
@@ -52,6 +57,8 @@
         self._sized_at: dict[str, float] = {}  # time of the last sizing, by shard_id
         # Seconds from the last sizing to the next, by shard_id.
         self._interval_s: dict[str, float] = {}
+        # The offers that the leader was last asked for, by shard_id.
+        self._requested_offers: dict[str, set[Offer]] = {}
 
     def tick(self, shard: Shard, leading: bool) -> list[MachineRequest]:
         """Size the shard's fleet if a sizing is due: abandon machines and rent others.
@@ -103,10 +110,25 @@
             for rental in plan.scale_out:
                 self.provider.scale_out(shard.shard_id, rental.offer, rental.count)
             return []
+        self._log_new_requests(shard.shard_id, plan.scale_out)
         return [
             MachineRequest(shard.shard_id, *rental.offer, rental.count) for rental in plan.scale_out
         ]
 
+    def _log_new_requests(self, shard_id: str, rentals: list[PlannedRental]) -> None:
+        """Log the offers that the leader was not asked for by the last sizing of the shard."""
+        requested = {rental.offer for rental in rentals}
+        known = self._requested_offers.get(shard_id, set())
+        self._requested_offers[shard_id] = requested
+        for rental in rentals:
+            if rental.offer not in known:
+                log.info(
+                    "machines requested from leader shard=%s type=%s zone=%s spot=%s count=%d",
+                    shard_id,
+                    *rental.offer,
+                    rental.count,
+                )
+
     def _is_work_known(self, shard: Shard) -> bool:
         """Return whether the owner knows which of the shard's tasks still have to run.
 
--- a/fallpulley/shards/task_changes.py
+++ b/fallpulley/shards/task_changes.py
@@ -90,7 +90,16 @@
         job.requeue(run.task_index)
         now, timing = self.context.now, self.context.timing
         if exit_reason is _ERROR:
+            newly_avoided = machine.machine_id not in job.retry.failed_machines
             job.retry.record_failure(machine.machine_id, now, timing.lease_s)
             machine.reliability.failed_jobs.add(job.job_id)
+            if newly_avoided:
+                log.info(
+                    "job avoids machine after failure job=%s machine=%s avoided=%d backoff=%.1f",
+                    job.job_id,
+                    machine.machine_id,
+                    len(job.retry.failed_machines),
+                    max(0.0, job.retry.not_before - now),
+                )
         elif exit_reason in START_REFUSALS:
             machine.reliability.refuses_tasks_until = now + timing.heartbeat_interval_s
