Let a job return to a machine on which a task of it failed

Cause: a machine on which a task failed was closed to the job without an end. The only way back was to have failed on all machines of the shard, and machines that the job may not use (another zone, type, or spot) counted among them, so that a job bound to a zone never got there.

So neither the back-off of the job nor the machine's own state kept the task back.

Fix: a job avoids such a machine for at most 45 s, half of the 90 s that a job may wait beside room, and only while the plan has another machine on which its tasks may run. Otherwise it may use the machine again at once, and after a back-off from a quarter of a lease up to 45 s where it fails there repeatedly. As the avoidance ends by itself, it also ends for jobs whose other machines stay full, and for gangs that need the machine.

`record_failure` takes the start of the attempt, so the calls in an older test have an argument more; its assertions are the same.

--- a/fallpulley/jobs/open_job.py
+++ b/fallpulley/jobs/open_job.py
@@ -8,11 +8,11 @@
     GangState,
     ProcessorEstimate,
     RemainingTime,
-    RetryState,
     RunTimeObservations,
     TaskQueue,
 )
 from fallpulley.jobs.pipelines import DependencyNode
+from fallpulley.jobs.retry_state import RetryState
 from fallpulley.resources import Resources
 from fallpulley.workers.machine import TaskRun
 
--- a/fallpulley/jobs/open_job_state.py
+++ b/fallpulley/jobs/open_job_state.py
@@ -1,4 +1,4 @@
-"""The parts of an open job's state in its shard's owner: queue, gang, retries, estimates."""
+"""The parts of an open job's state in its shard's owner: queue, gang, estimates."""
 
 from __future__ import annotations
 
@@ -8,12 +8,7 @@
 import msgspec
 
 from fallpulley.jobs.pipelines import DependencyNode
-from fallpulley.timing import LONG_AGO
 
-# The longest back-off of a job that has failed on more than one machine, in lease durations.
-MAX_RETRY_BACKOFF_LEASES = 6.0
-# The first back-off of such a job, in lease durations; it doubles with each further failure.
-FIRST_RETRY_BACKOFF_LEASES = 0.25
 # A pipeline's deadline is at risk once the time left is less than this many times the estimated
 # time for the rest of the job and the longest path after it.
 DEADLINE_RISK_FACTOR = 1.25
@@ -80,28 +75,6 @@
         self.observed_run_s += run_s
 
 
-class RetryState(msgspec.Struct):
-    """The failures of a job's tasks, and the time before which no task may be tried again."""
-
-    failed_machines: set[str] = msgspec.field(default_factory=set)  # ids
-    failure_count: int = 0  # on all machines together
-    not_before: float = LONG_AGO  # seconds of the monotonic clock
-
-    def record_failure(self, machine_id: str, now: float, lease_s: float) -> None:
-        """Record that a task failed on a machine, and set the back-off of the job.
-
-        After failures on one machine only, the job may be tried on another at once. After failures
-        on several machines, it waits for an exponential back-off.
-        """
-        self.failure_count += 1
-        self.failed_machines.add(machine_id)
-        if len(self.failed_machines) > 1:
-            self.not_before = now + min(
-                MAX_RETRY_BACKOFF_LEASES * lease_s,
-                FIRST_RETRY_BACKOFF_LEASES * lease_s * 2 ** (self.failure_count - 2),
-            )
-
-
 class RemainingTime(msgspec.Struct):
     """The estimated time for the rest of a job, and whether its pipeline's deadline is at risk."""
 
--- a/fallpulley/scheduling/pending_jobs.py
+++ b/fallpulley/scheduling/pending_jobs.py
@@ -9,7 +9,7 @@
 from fallpulley.controller_context import ControllerContext
 from fallpulley.jobs.messages import JobKind
 from fallpulley.jobs.open_job import OpenJob
-from fallpulley.placement.queue import PendingJob, queue_order
+from fallpulley.placement.queue import PendingJob, is_eligible, queue_order
 from fallpulley.placement.remaining_time import MachineShapes, count_shapes, remaining_time
 from fallpulley.placement.snapshot import MachineSnapshot
 from fallpulley.scheduling.age_bound import (
@@ -42,6 +42,7 @@
         if not task_count or job.gang.restarting:
             continue
         entry = _pending_job(shard, context, job, task_count, shapes)
+        entry.avoided_machines = _avoided_machines(job, entry, snapshots, context.now)
         pending += _split_first_tasks(entry, job, context)
     fleet_cpus = sum(snapshot.capacity.cpus for snapshot in snapshots)
     promote_late_jobs(pending, shard, context, fleet_cpus)
@@ -108,7 +109,6 @@
         zone=_zone(job, shard),
         zone_limits=_zone_limits(job, shard) if spec.spread else None,
         one_zone=spec.one_zone,
-        avoided_machines=_avoided_machines(job, shard),
         all_at_once=spec.kind is _GANG and not job.runs,
     )
 
@@ -148,12 +148,18 @@
     return limits
 
 
-def _avoided_machines(job: OpenJob, shard: Shard) -> set[str] | None:
-    """Return the machines on which the job failed, None if there are none.
+def _avoided_machines(
+    job: OpenJob, entry: PendingJob, snapshots: list[MachineSnapshot], now: float
+) -> set[str] | None:
+    """Return the machines that get none of the job's tasks because one failed there, or None.
 
-    None also if these are all machines of the shard: otherwise the job would wait while they idle.
+    If the job's tasks may run on no other machine, these are only the machines in back-off:
+    otherwise the job would wait beside an idle machine that fits.
     """
-    failed = job.retry.failed_machines or None
-    if failed is not None and failed >= shard.machines.keys():
+    avoided = job.retry.avoided_machines(now)
+    if not avoided:
         return None
-    return failed
+    for snapshot in snapshots:
+        if snapshot.machine_id not in avoided and is_eligible(entry, snapshot):
+            return avoided
+    return job.retry.machines_in_backoff(now) or None
--- a/fallpulley/shards/task_changes.py
+++ b/fallpulley/shards/task_changes.py
@@ -90,15 +90,15 @@
         job.requeue(run.task_index)
         now, timing = self.context.now, self.context.timing
         if exit_reason is _ERROR:
-            newly_avoided = machine.machine_id not in job.retry.failed_machines
-            job.retry.record_failure(machine.machine_id, now, timing.lease_s)
+            newly_avoided = machine.machine_id not in job.retry.machine_failures
+            job.retry.record_failure(machine.machine_id, run.commanded_at, now, timing.lease_s)
             machine.reliability.failed_jobs.add(job.job_id)
             if newly_avoided:
                 log.info(
                     "job avoids machine after failure job=%s machine=%s avoided=%d backoff=%.1f",
                     job.job_id,
                     machine.machine_id,
-                    len(job.retry.failed_machines),
+                    len(job.retry.machine_failures),
                     max(0.0, job.retry.not_before - now),
                 )
         elif exit_reason in START_REFUSALS:
--- a/tests/test_settings_and_limits.py
+++ b/tests/test_settings_and_limits.py
@@ -223,11 +223,11 @@
 
 def test_retry_delay_grows_with_each_machine_that_a_job_fails_on() -> None:
     failing = make_open_job(4)
-    failing.retry.record_failure("vm-1", 0.0, 10.0)
+    failing.retry.record_failure("vm-1", 0.0, 0.0, 10.0)
     assert failing.retry.not_before < 0.0  # the first retry, on another machine, is immediate
-    failing.retry.record_failure("vm-2", 0.0, 10.0)
+    failing.retry.record_failure("vm-2", 0.0, 0.0, 10.0)
     first = failing.retry.not_before
-    failing.retry.record_failure("vm-3", 0.0, 10.0)
+    failing.retry.record_failure("vm-3", 0.0, 0.0, 10.0)
     assert 0.0 < first < failing.retry.not_before <= 60.0
 
 
--- a/tests/test_wire_goldens.py
+++ b/tests/test_wire_goldens.py
@@ -21,7 +21,8 @@
 - `controller.wiring`, `controller_access`, `capacity`, `timing`, `heartbeats`, `scheduling`,
   `placement` and `wire`: all.
 - `fleet.sizing`: all.
-- `jobs`: `job_index.JobEntry`, all in `open_job_state`, `pipelines.DependencyNode`, `Urgency`,
+- `jobs`: `job_index.JobEntry`, all in `open_job_state` and `retry_state`,
+  `pipelines.DependencyNode`, `Urgency`,
   `PipelineChanges`.
 - `shared_records`: `shard_change.RecordLimits`, `ShardChange`, `RecordUpdate`,
   `pending_changes.PendingChanges`, `writer._WriteState`. `ShardRecord`, `ShardHeader`,
