Announce the cloud's refusals to owners that do not lead

What callers saw: no task of an accepted job ever started, although the cloud had machines for it.

Cause: the cloud answers the leader, which alone rents. It dropped requests for a refused offer without telling the owner, and the owner sizes its shard with the refusals that it knows itself: none.

Evidence, on the code as it was: the owner logged `machines requested from leader .. spot=True count=1` once, and no other offer for 85 s; the leader logged six refusals of that offer. So the requests arrived and were answered; the answer never came back to who chooses the offer.

Fix: beside its heartbeat to the peers the leader sends the offers in back-off in a message of their own, `refused`. Owners take it from the leader of the records alone, drop it when it is late, and plan without these offers until the back-off ends. A message is repeated each second, so that a loss does no harm.

The first test failed before with both boot times, the second is about the new message.

--- a/fallpulley/controller/peer_messages.py
+++ b/fallpulley/controller/peer_messages.py
@@ -9,7 +9,7 @@
 from fallpulley.jobs.messages import JobState
 from fallpulley.jobs.service import JobService
 from fallpulley.membership.leadership import Leadership
-from fallpulley.mesh.messages import Cancellations, PeerHeartbeat
+from fallpulley.mesh.messages import Cancellations, PeerHeartbeat, RentalRefusals
 from fallpulley.mesh.peers import Peers
 from fallpulley.shared_records.registry import Registry
 
@@ -47,6 +47,8 @@
         message = self.peers.receive(body)
         if isinstance(message, Cancellations):
             self.job_sync.stop_cancelled(message.job_ids)
+        elif isinstance(message, RentalRefusals):
+            self._on_rental_refusals(message)
         elif message is not None:
             self._on_heartbeat(message)
 
@@ -55,12 +57,20 @@
             entry = self.jobs.entries.get(job_id)
             if entry is not None and entry.state is JobState.OPEN:
                 self.jobs.task_counts[job_id] = (completed, running)
-        leader = self.registry.leader
-        if leader is not None and heartbeat.incarnation == leader[0].incarnation:
+        if self._is_leader(heartbeat.incarnation):
             self.provider.target_sizes = heartbeat.target_sizes
         if self.leadership.term is not None:
             self._scale_out(heartbeat)
 
+    def _on_rental_refusals(self, message: RentalRefusals) -> None:
+        if self._is_leader(message.incarnation) and self.leadership.term is None:
+            self.provider.on_refusals_announced(message.offers)
+
+    def _is_leader(self, incarnation: str) -> bool:
+        """Return whether the records name this process as the leader."""
+        leader = self.registry.leader
+        return leader is not None and incarnation == leader.value.incarnation
+
     def _scale_out(self, heartbeat: PeerHeartbeat) -> None:
         """Rent the machines that a peer requests from this controller as the leader."""
         for request in heartbeat.machine_requests:
--- a/fallpulley/controller/periodic.py
+++ b/fallpulley/controller/periodic.py
@@ -169,6 +169,8 @@
             self.health.staleness_s(), task_counts, machine_requests, self.provider.target_sizes
         )
         self._machine_requests = {}
+        if leading and (refusals := self.provider.refusals_to_announce()):
+            self.peers.send_rental_refusals(refusals)
 
     def _current_task_counts(self) -> list[TaskCount]:
         """Return the task counts that the next heartbeat carries, as many as fit.
--- a/fallpulley/fleet/provider.py
+++ b/fallpulley/fleet/provider.py
@@ -15,6 +15,7 @@
 from fallpulley.fleet.releases import Releases
 from fallpulley.fleet.rentals import Rentals
 from fallpulley.fleet.shard_chooser import MachineShardChooser
+from fallpulley.mesh.messages import RefusedOffer
 from fallpulley.shared_records.registry import Registry
 from fallpulley.shared_records.shard_record import MachineEntry
 from fallpulley.shared_records.writer import ShardWriter
@@ -137,6 +138,14 @@
         """Return the offers that were refused recently and are not to be requested yet."""
         return self.rentals.refused_offers()
 
+    def refusals_to_announce(self) -> list[RefusedOffer]:
+        """Return the refused offers as the leader announces them to the other controllers."""
+        return self.rentals.refusals_to_announce()
+
+    def on_refusals_announced(self, refusals: list[RefusedOffer]) -> None:
+        """Back off from the offers that the cloud refuses to the leader."""
+        self.rentals.on_refusals_announced(refusals)
+
     def pending_rentals(self, shard_id: str) -> list[RentalRequest]:
         """Return the shard's requests that the cloud has neither filled nor refused."""
         return self.rentals.pending_of(shard_id)
--- a/fallpulley/fleet/rentals.py
+++ b/fallpulley/fleet/rentals.py
@@ -24,6 +24,7 @@
 from fallpulley.fleet.refusals import RefusedOffers
 from fallpulley.fleet.releases import Releases
 from fallpulley.fleet.shard_chooser import MachineShardChooser
+from fallpulley.mesh.messages import RefusedOffer
 from fallpulley.shared_records.registry import Registry
 from fallpulley.shared_records.shard_record import MachineEntry
 from fallpulley.shared_records.writer import ShardWriter
@@ -93,6 +94,26 @@
         """Return the offers that were refused recently and are not to be requested yet."""
         return self._refused_offers.current(self.context.now)
 
+    def refusals_to_announce(self) -> list[RefusedOffer]:
+        """Return the refused offers as the leader announces them to the other controllers."""
+        remaining_s = self._refused_offers.remaining_s(self.context.now)
+        return [RefusedOffer(*offer, wait_s) for offer, wait_s in remaining_s.items()]
+
+    def on_refusals_announced(self, refusals: list[RefusedOffer]) -> None:
+        """Back off from the offers that the cloud refuses to the leader."""
+        known = self.refused_offers()
+        remaining_s: dict[Offer, float] = {}
+        for machine_type, zone, spot, backoff_s in refusals:
+            offer = Offer(machine_type, zone, spot)
+            remaining_s[offer] = backoff_s
+            if offer not in known:
+                log.info(
+                    "rental refusal announced by leader type=%s zone=%s spot=%s seconds=%.0f",
+                    *offer,
+                    backoff_s,
+                )
+        self._refused_offers.on_announced(remaining_s, self.context.now)
+
     def pending_of(self, shard_id: str) -> list[RentalRequest]:
         """Return the shard's requests that the cloud has neither filled nor refused."""
         return [
--- a/fallpulley/mesh/messages.py
+++ b/fallpulley/mesh/messages.py
@@ -53,7 +53,28 @@
     job_ids: list[str]
 
 
-PeerMessageBody = PeerHeartbeat | Cancellations
+class RefusedOffer(NamedTuple):
+    """Machines of one kind that the cloud has refused to rent; encoded as an array."""
+
+    machine_type: str
+    zone: str
+    spot: bool
+    backoff_s: float  # seconds from the sending of the message until they are requested again
+
+
+class RentalRefusals(msgspec.Struct, tag="refused", array_like=True):
+    """The offers that the cloud refuses, sent by the leader to the owners of shards.
+
+    Only the leader rents machines. Without the message, the other owners would request the cheapest
+    machines again and again, although others are available.
+    """
+
+    incarnation: str  # of the leader
+    sent_at: float  # wall time in seconds since the epoch, to detect late delivery
+    offers: list[RefusedOffer]  # all that are in back-off
+
+
+PeerMessageBody = PeerHeartbeat | Cancellations | RentalRefusals
 
 
 def decode_peer_message(body: bytes) -> PeerMessageBody | None:
--- a/fallpulley/mesh/peers.py
+++ b/fallpulley/mesh/peers.py
@@ -14,6 +14,8 @@
     MachineRequest,
     PeerHeartbeat,
     PeerMessageBody,
+    RefusedOffer,
+    RentalRefusals,
     TaskCount,
     decode_peer_message,
 )
@@ -73,9 +75,12 @@
             machine_requests,
             target_sizes,
         )
-        body = msgspec.json.encode(heartbeat)
-        for peer in self.context.settings.peers:
-            self._post(peer.address, body)
+        self._send_to_all(msgspec.json.encode(heartbeat))
+
+    def send_rental_refusals(self, offers: list[RefusedOffer]) -> None:
+        """As the leader, notify all peers of the offers that the cloud refuses."""
+        message = RentalRefusals(self.context.incarnation, self.context.wall_time, offers)
+        self._send_to_all(msgspec.json.encode(message))
 
     def send_cancellations(self, controller_id: str, job_ids: list[str]) -> None:
         """Notify a shard's owner of cancelled jobs; a lost message does no harm."""
@@ -89,6 +94,10 @@
             if peer.controller_id == controller_id:
                 self._post(peer.address, body)
 
+    def _send_to_all(self, body: bytes) -> None:
+        for peer in self.context.settings.peers:
+            self._post(peer.address, body)
+
     def _post(self, address: str, body: bytes) -> None:
         self.context.call(
             address,
@@ -104,28 +113,35 @@
     def receive(self, body: bytes) -> PeerMessageBody | None:
         """Decode a message, and store it if it is a heartbeat.
 
-        Returns None if the message is malformed, or if it is a heartbeat that arrives too late
-        or is not newer than the last one of its sender: a controller that is cut off must not
-        seem live because an old heartbeat arrives.
+        Returns None if the message is malformed or arrives too late, or if it is a heartbeat that
+        is not newer than the last one of its sender: a controller that is cut off must not seem
+        live because an old heartbeat arrives.
         """
         message = decode_peer_message(body)
-        if not isinstance(message, PeerHeartbeat):
-            return message
-        if self._is_too_old(message):
+        if message is None or isinstance(message, Cancellations):
+            return message  # a cancellation is final, so it is never too late for one
+        if self._is_too_old(message.sent_at):
             return None
-        last = self.last_heartbeats.get(message.controller_id)
-        if last is not None and message.sent_at <= last.heartbeat.sent_at:
+        if isinstance(message, PeerHeartbeat) and not self._store_if_newer(message):
             return None
-        self.last_heartbeats[message.controller_id] = ReceivedHeartbeat(message, self.context.now)
         return message
 
-    def _is_too_old(self, heartbeat: PeerHeartbeat) -> bool:
-        """Return whether a heartbeat was sent too long ago.
+    def _store_if_newer(self, heartbeat: PeerHeartbeat) -> bool:
+        """Store a heartbeat; return False if it is not newer than the last one of its sender."""
+        last = self.last_heartbeats.get(heartbeat.controller_id)
+        if last is not None and heartbeat.sent_at <= last.heartbeat.sent_at:
+            return False
+        received = ReceivedHeartbeat(heartbeat, self.context.now)
+        self.last_heartbeats[heartbeat.controller_id] = received
+        return True
+
+    def _is_too_old(self, sent_at: float) -> bool:
+        """Return whether a message was sent too long ago.
 
         Both controllers' clocks may be wrong by the allowed skew, in opposite directions.
         """
         skew_s = 2 * self.context.settings.facts.skew_ms / 1000
-        return self.context.wall_time - heartbeat.sent_at > RECENT_SECONDS + skew_s
+        return self.context.wall_time - sent_at > RECENT_SECONDS + skew_s
 
     # -- liveness --------------------------------------------------------------------------
 
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -416,6 +416,8 @@
         self.released_hosts: list[str] = []
         self.rentals: dict[str, list[str]] = {}
         self.capacity = 6
+        # Offers of which the cloud has no machines: zone, and whether they are spot machines.
+        self.refused_offers: set[tuple[str, bool]] = set()
         self.controllers: dict[str, Controller] = {}
         self.controller_starts = 0
         # Pairs that cannot reach each other: hosts, controllers, "state" or "cloud".
@@ -806,6 +808,8 @@
             return 200, {"hosts": self.rentals[body["hire"]]}
         assert body["number"] <= 50
         count = min(body["number"], self.capacity - len(self.workers))
+        if (body["hall"], body["loaners"]) in self.refused_offers:
+            count = 0
         if count <= 0:
             return 503, {"error": "no capacity"}
         hosts = [self.add_machine(body["hall"], body["loaners"]) for _ in range(count)]
--- /dev/null
+++ b/tests/test_rental_refusals.py
@@ -0,0 +1,62 @@
+"""What the cloud refuses to the leader is known to every owner of a shard."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from fallpulley.cloud.offer import Offer
+from fallpulley.mesh.messages import RefusedOffer, RentalRefusals
+from tests.simulated_cluster import CONTROLLER_LABELS, MACHINE_TYPE, SimulatedCluster
+from tests.test_jobs_and_takeovers import ready_cluster, submit_job
+
+
+def leader(cluster: SimulatedCluster) -> str:
+    """Return the controller that rents machines, according to the state service."""
+    return str(cluster.state.entries["live/leader"][0]["label"])
+
+
+def give_shard_to_follower(cluster: SimulatedCluster) -> str:
+    """Hand the only shard to a controller that does not lead, and return that controller."""
+    owner = cluster.owner()
+    follower = next(label for label in CONTROLLER_LABELS if label != leader(cluster))
+    components = cluster.controllers[owner].components
+    (shard_id,) = components.owned_shards.shards
+    components.leadership.hand_off(shard_id, follower)
+    cluster.run_until(lambda: cluster.owner() == follower, 5.0)
+    cluster.run(10.0)
+    assert cluster.owner() == follower != leader(cluster)
+    return follower
+
+
+@pytest.mark.parametrize("boot_s", [1.0, 5.0])
+def test_owner_that_does_not_lead_rents_other_machines_when_the_cheapest_are_refused(
+    boot_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against an owner that asks for refused machines for ever: no task starts.
+    monkeypatch.setitem(MACHINE_TYPE, "startup_s", boot_s)
+    cluster = ready_cluster(1)
+    give_shard_to_follower(cluster)
+    cluster.refused_offers = {("b", True)}
+    uid = submit_job(cluster, 1, hall="b", pieces=4, expect_s=30.0)
+    cluster.run_until(lambda: cluster.job_state(uid) == "done", 40.0)
+
+
+def test_refusals_are_taken_from_the_leader_alone_and_only_in_time() -> None:
+    # Guards against machines that are not asked for because of an old or foreign refusal.
+    cluster = ready_cluster(1)
+    follower = next(label for label in CONTROLLER_LABELS if label != leader(cluster))
+    components = cluster.controllers[follower].components
+    of_leader = cluster.controllers[leader(cluster)].components.context.incarnation
+
+    def announce(incarnation: str, age_s: float) -> set[Offer]:
+        sent_at = components.context.wall_time - age_s
+        message = RentalRefusals(incarnation, sent_at, [RefusedOffer("box", "a", True, 5.0)])
+        components.peer_messages.handle(msgspec.json.encode(message))
+        return components.provider.refused_offers()
+
+    assert announce(components.context.incarnation, 0.0) == set()
+    assert announce(of_leader, 60.0) == set()
+    assert announce(of_leader, 0.5) == {Offer("box", "a", True)}
+    cluster.run(6.0)
+    assert components.provider.refused_offers() == set()
