Count what an owner has asked the leader for as supply

Cause: as with the refusals, what the cloud answers reaches the leader alone. The owner sizes its shard each second, sees the rented machines only once they are in its record, and asked for them again meanwhile; the leader took the second request for a new one, as the first was filled.

Fix: the owner counts its requests as supply for four heartbeats between controllers, less the machines of the offer that its shard got since the oldest of them, and not for refused offers. So a lost request is repeated after 4 s. Two sizings between two heartbeats no longer replace each other's requests, and each request is logged, since none is repeated each second any more.

The new test failed before with spot machines refused and not refused.

--- a/fallpulley/controller/peer_messages.py
+++ b/fallpulley/controller/peer_messages.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from fallpulley.cloud.offer import Offer
 from fallpulley.controller.job_sync import JobSync
 from fallpulley.extensions import Extensions
 from fallpulley.fleet.provider import MachineProvider
@@ -75,5 +74,4 @@
         """Rent the machines that a peer requests from this controller as the leader."""
         for request in heartbeat.machine_requests:
             if request.shard_id in self.registry.shards and request.count > 0:
-                offer = Offer(request.machine_type, request.zone, request.spot)
-                self.provider.scale_out(request.shard_id, offer, request.count)
+                self.provider.scale_out(request.shard_id, request.offer, request.count)
--- a/fallpulley/controller/periodic.py
+++ b/fallpulley/controller/periodic.py
@@ -74,8 +74,8 @@
         self.health = health
         self.owned_shards = owned_shards
         self.extensions = extensions
-        # Requests for machines that the next heartbeat carries, by shard id.
-        self._machine_requests: dict[str, list[MachineRequest]] = {}
+        # Requests for machines that the next heartbeat carries.
+        self._machine_requests: list[MachineRequest] = []
         self._task_counts = TaskCountRotation()
         self._next_tick_at = float("-inf")
         self._next_occupancy_at = float("-inf")
@@ -154,7 +154,7 @@
             self.autoscaler.release_unreachable(agent.shard)
         machine_requests = self.autoscaler.tick(agent.shard, leading)
         if machine_requests:
-            self._machine_requests[agent.shard.shard_id] = machine_requests
+            self._machine_requests += machine_requests
 
     def _exchange_with_peers(self, leading: bool) -> None:
         task_counts = self._current_task_counts()
@@ -162,13 +162,13 @@
             self.provider.target_sizes = self.balancer.target_sizes()
         if not self.extensions.balances_shards:
             self.balancer.rebalance(self.owned_shards.shards)
-        machine_requests = [
-            request for requests in self._machine_requests.values() for request in requests
-        ]
         self.peers.send_heartbeat(
-            self.health.staleness_s(), task_counts, machine_requests, self.provider.target_sizes
+            self.health.staleness_s(),
+            task_counts,
+            self._machine_requests,
+            self.provider.target_sizes,
         )
-        self._machine_requests = {}
+        self._machine_requests = []
         if leading and (refusals := self.provider.refusals_to_announce()):
             self.peers.send_rental_refusals(refusals)
 
--- a/fallpulley/fleet/autoscaler.py
+++ b/fallpulley/fleet/autoscaler.py
@@ -5,14 +5,19 @@
 import logging
 
 from fallpulley.cloud.messages import DEFAULT_BOOT_SECONDS, MachineType
-from fallpulley.cloud.offer import Offer
 from fallpulley.controller_context import ControllerContext
 from fallpulley.fleet.abandonment import AbandonReason, MachineAbandoner
 from fallpulley.fleet.demand import demand_groups
 from fallpulley.fleet.provider import MachineProvider
+from fallpulley.fleet.sent_requests import SentRequests
 from fallpulley.fleet.sizing import PlannedRental, SizingPlan, SupplyUnit, size_fleet
 from fallpulley.fleet.smoothing import DemandSmoother
-from fallpulley.fleet.supply import added_supply, machine_supply, rented_supply
+from fallpulley.fleet.supply import (
+    added_supply,
+    machine_supply,
+    rented_supply,
+    requested_supply,
+)
 from fallpulley.mesh.messages import MachineRequest
 from fallpulley.shards.shard import Shard
 from fallpulley.shared_records.registry import Registry
@@ -57,8 +62,7 @@
         self._sized_at: dict[str, float] = {}  # time of the last sizing, by shard_id
         # Seconds from the last sizing to the next, by shard_id.
         self._interval_s: dict[str, float] = {}
-        # The offers that the leader was last asked for, by shard_id.
-        self._requested_offers: dict[str, set[Offer]] = {}
+        self._sent_requests = SentRequests()
 
     def tick(self, shard: Shard, leading: bool) -> list[MachineRequest]:
         """Size the shard's fleet if a sizing is due: abandon machines and rent others.
@@ -110,24 +114,22 @@
             for rental in plan.scale_out:
                 self.provider.scale_out(shard.shard_id, rental.offer, rental.count)
             return []
-        self._log_new_requests(shard.shard_id, plan.scale_out)
-        return [
-            MachineRequest(shard.shard_id, *rental.offer, rental.count) for rental in plan.scale_out
-        ]
-
-    def _log_new_requests(self, shard_id: str, rentals: list[PlannedRental]) -> None:
-        """Log the offers that the leader was not asked for by the last sizing of the shard."""
-        requested = {rental.offer for rental in rentals}
-        known = self._requested_offers.get(shard_id, set())
-        self._requested_offers[shard_id] = requested
-        for rental in rentals:
-            if rental.offer not in known:
-                log.info(
-                    "machines requested from leader shard=%s type=%s zone=%s spot=%s count=%d",
-                    shard_id,
-                    *rental.offer,
-                    rental.count,
-                )
+        return self._request_from_leader(shard.shard_id, plan.scale_out)
+
+    def _request_from_leader(
+        self, shard_id: str, rentals: list[PlannedRental]
+    ) -> list[MachineRequest]:
+        """Return the requests to be sent to the leader, and count them as supply from now on."""
+        requests = [MachineRequest(shard_id, *rental.offer, rental.count) for rental in rentals]
+        self._sent_requests.record(shard_id, requests, self.context.now)
+        for request in requests:
+            log.info(
+                "machines requested from leader shard=%s type=%s zone=%s spot=%s count=%d",
+                shard_id,
+                *request.offer,
+                request.count,
+            )
+        return requests
 
     def _is_work_known(self, shard: Shard) -> bool:
         """Return whether the owner knows which of the shard's tasks still have to run.
@@ -171,10 +173,13 @@
     ) -> list[SupplyUnit]:
         """Return the machines that the shard has, has requested, or is being given."""
         rentals = self.provider.pending_rentals(shard.shard_id)
+        refused = self.provider.refused_offers()
+        requested = self._sent_requests.open_counts(shard, refused, self.context.now)
         adding = self.writer.machines_being_added(shard.shard_id)
         return (
             machine_supply(shard, machine_types, self.context.now)
             + rented_supply(rentals, machine_types)
+            + requested_supply(requested, machine_types)
             + added_supply(shard, adding, machine_types)
         )
 
--- a/fallpulley/fleet/supply.py
+++ b/fallpulley/fleet/supply.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 from fallpulley.cloud.messages import MachineType, RentalRequest
+from fallpulley.cloud.offer import Offer
 from fallpulley.fleet.sizing import SupplyUnit
 from fallpulley.shards.shard import Shard
 from fallpulley.shared_records.shard_record import MachineEntry
@@ -90,6 +91,17 @@
     return supply
 
 
+def requested_supply(
+    counts: Mapping[Offer, int], machine_types: dict[str, MachineType]
+) -> list[SupplyUnit]:
+    """Return the machines that the leader was asked for and may still rent, given by offer."""
+    requests = [
+        RentalRequest(f"requested-{number}", *offer, count)
+        for number, (offer, count) in enumerate(counts.items())
+    ]
+    return rented_supply(requests, machine_types)
+
+
 def added_supply(
     shard: Shard, adding: Mapping[str, MachineEntry], machine_types: dict[str, MachineType]
 ) -> list[SupplyUnit]:
--- a/fallpulley/mesh/messages.py
+++ b/fallpulley/mesh/messages.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from fallpulley.cloud.offer import Offer
+
 # The path at which peers accept messages, as POST requests to their mesh address.
 PEER_MESSAGES_PATH = "/beat"
 
@@ -30,6 +32,11 @@
     spot: bool
     count: int
 
+    @property
+    def offer(self) -> Offer:
+        """The offer of which machines are requested."""
+        return Offer(self.machine_type, self.zone, self.spot)
+
 
 class PeerHeartbeat(msgspec.Struct, tag="beat", array_like=True):
     """A controller's heartbeat, with the age of its watch cache and its jobs' task counts."""
--- a/tests/test_rental_refusals.py
+++ b/tests/test_leader_rentals.py
@@ -1,4 +1,4 @@
-"""What the cloud refuses to the leader is known to every owner of a shard."""
+"""Machines that the leader rents for an owner that does not lead."""
 
 from __future__ import annotations
 
@@ -42,6 +42,30 @@
     cluster.run_until(lambda: cluster.job_state(uid) == "done", 40.0)
 
 
+def rented_machines(lead: bool, refused: set[tuple[str, bool]]) -> int:
+    """Return how many machines are rented for two jobs, by an owner that leads or not."""
+    cluster = ready_cluster(1)
+    cluster.capacity = 400
+    if lead:
+        cluster.run(10.0)  # so that the idle machine goes back, as it does during a handoff
+    else:
+        give_shard_to_follower(cluster)
+    cluster.refused_offers = refused
+    anywhere = submit_job(cluster, 1, pieces=40, expect_s=20.0)
+    bound = submit_job(cluster, 2, pieces=12, hall="b", rank="high", loaners=False)
+    for uid in (anywhere, bound):
+        cluster.run_until(lambda uid=uid: cluster.job_state(uid) == "done", 60.0)
+    return sum(len(hosts) for hosts in cluster.rentals.values())
+
+
+@pytest.mark.parametrize("refused", [set(), {("a", True), ("b", True)}], ids=["none", "spot"])
+def test_owner_that_does_not_lead_rents_no_more_machines_than_one_that_leads(
+    refused: set[tuple[str, bool]],
+) -> None:
+    # Guards against machines that are rented twice, since the owner has not heard of the first yet.
+    assert 0 < rented_machines(False, refused) <= rented_machines(True, refused)
+
+
 def test_refusals_are_taken_from_the_leader_alone_and_only_in_time() -> None:
     # Guards against machines that are not asked for because of an old or foreign refusal.
     cluster = ready_cluster(1)
