Goldens of the message that announces refusals

As for the other messages, an unknown further field is read over, and a message without offers is refused.

--- a/tests/test_wire_goldens.py
+++ b/tests/test_wire_goldens.py
@@ -253,6 +253,7 @@
     # Between controllers.
     "heartbeat": one_of(mesh.PeerHeartbeat, mesh.decode_peer_message),
     "called off": one_of(mesh.Cancellations, mesh.decode_peer_message),
+    "rental refusals": one_of(mesh.RentalRefusals, mesh.decode_peer_message),
     "log batch": Kind(standby.LogBatch, standby.decode, standby.encode),
     "snapshot part": Kind(standby.SnapshotPart, standby.decode, standby.encode),
     "acknowledgement": Kind(standby.Acknowledgement, standby.decode, standby.encode),
