Count requests to the cloud as supply only while leading

What callers saw: an accepted job for which nothing was rented, on a shard whose owner had led before and had requests to the cloud without an answer then.

Cause: pending requests to the cloud count as supply of their shard. Only the leader repeats them, and only a new term of the same process drops them, so that in a former leader they stay for ever.

Evidence (simulated cluster): the cloud cut off, a job submitted, the leader replaced, all connections restored and the shard handed back: the former leader's pending requests still had hire-4-1, and nothing was requested for the next job in 60 s.

The new test failed before.

--- a/fallpulley/fleet/autoscaler.py
+++ b/fallpulley/fleet/autoscaler.py
@@ -107,7 +107,7 @@
         self.abandoner.abandon_unusable(shard)
         if not self._is_work_known(shard):
             return []
-        plan = self._plan_size(shard, elapsed_s)
+        plan = self._plan_size(shard, leading, elapsed_s)
         for machine_id in plan.scale_in:
             self.abandoner.abandon(shard, shard.machines[machine_id], AbandonReason.IDLE)
         if leading:
@@ -150,10 +150,10 @@
         )
         return self.context.now >= shard.acquired_at + work_unknown_s
 
-    def _plan_size(self, shard: Shard, elapsed_s: float) -> SizingPlan:
+    def _plan_size(self, shard: Shard, leading: bool, elapsed_s: float) -> SizingPlan:
         machine_types = self.provider.machine_types or self.registry.machine_types
         operators = self.context.settings.operators
-        supply = self._measure_supply(shard, machine_types)
+        supply = self._measure_supply(shard, leading, machine_types)
         boot_s = _shortest_boot_s(machine_types)
         drain_s = operators.drain_boots * boot_s
         groups = demand_groups(shard, machine_types, self.context.now, drain_s)
@@ -169,20 +169,31 @@
         )
 
     def _measure_supply(
-        self, shard: Shard, machine_types: dict[str, MachineType]
+        self, shard: Shard, leading: bool, machine_types: dict[str, MachineType]
     ) -> list[SupplyUnit]:
         """Return the machines that the shard has, has requested, or is being given."""
-        rentals = self.provider.pending_rentals(shard.shard_id)
-        refused = self.provider.refused_offers()
-        requested = self._sent_requests.open_counts(shard, refused, self.context.now)
         adding = self.writer.machines_being_added(shard.shard_id)
         return (
             machine_supply(shard, machine_types, self.context.now)
-            + rented_supply(rentals, machine_types)
-            + requested_supply(requested, machine_types)
+            + self._measure_requested_supply(shard, leading, machine_types)
             + added_supply(shard, adding, machine_types)
         )
 
+    def _measure_requested_supply(
+        self, shard: Shard, leading: bool, machine_types: dict[str, MachineType]
+    ) -> list[SupplyUnit]:
+        """Return the machines requested from the cloud, or from the leader, that may still come.
+
+        Only the leader repeats its requests to the cloud: those that a former leader has left over
+        are never filled.
+        """
+        if leading:
+            rentals = self.provider.pending_rentals(shard.shard_id)
+            return rented_supply(rentals, machine_types)
+        refused = self.provider.refused_offers()
+        counts = self._sent_requests.open_counts(shard, refused, self.context.now)
+        return requested_supply(counts, machine_types)
+
 
 def _shortest_boot_s(machine_types: dict[str, MachineType]) -> float:
     """Return the shortest boot time of all types, in seconds, or the default without any type."""
--- a/tests/test_leader_rentals.py
+++ b/tests/test_leader_rentals.py
@@ -84,3 +84,23 @@
     assert announce(of_leader, 0.5) == {Offer("box", "a", True)}
     cluster.run(6.0)
     assert components.provider.refused_offers() == set()
+
+
+def test_former_leader_rents_though_its_last_requests_to_the_cloud_had_no_answer() -> None:
+    # Guards against unanswered requests that count as machines on their way for ever.
+    cluster = ready_cluster(1)
+    former = leader(cluster)
+    cluster.partitions.add((former, "cloud"))
+    uid = submit_job(cluster, 1, hall="b", pieces=4)
+    cluster.run(3.0)
+    cluster.partitions.add((former, "state"))
+    cluster.run_until(lambda: cluster.job_state(uid) == "done", 60.0)
+    cluster.partitions.clear()
+    cluster.run(10.0)
+    owner = cluster.controllers[cluster.owner()].components
+    (shard_id,) = owner.owned_shards.shards
+    owner.leadership.hand_off(shard_id, former)
+    cluster.run(30.0)
+    assert cluster.owner() == former != leader(cluster)
+    uid = submit_job(cluster, 2, hall="b", pieces=4)
+    cluster.run_until(lambda: cluster.job_state(uid) == "done", 60.0)
