Split the exchange with the peers off the periodic tasks

What a heartbeat to the peers carries, and the balancing that goes with it, is PeerExchange now; order and content of all effects are the same. `recorded_machines` of two test files is one method of the simulated cluster.

--- a/fallpulley/controller/periodic.py
+++ b/fallpulley/controller/periodic.py
@@ -1,9 +1,9 @@
-"""Periodic work of every step, of every tick and of every heartbeat to the peers."""
+"""Periodic work of every step and of every tick."""
 
 from __future__ import annotations
 
 from fallpulley.balancing.balancer import ShardBalancer
-from fallpulley.controller.health import Health
+from fallpulley.controller.peer_exchange import PeerExchange
 from fallpulley.controller_context import ControllerContext
 from fallpulley.extensions import Extensions
 from fallpulley.fleet.autoscaler import Autoscaler
@@ -12,9 +12,6 @@
 from fallpulley.jobs.service import JobService
 from fallpulley.membership.leadership import Leadership
 from fallpulley.membership.session import SessionLease
-from fallpulley.mesh.messages import MachineRequest, TaskCount
-from fallpulley.mesh.peers import Peers
-from fallpulley.mesh.task_counts import TaskCountRotation
 from fallpulley.persistence.job_persistence import JobPersistence
 from fallpulley.scheduling.planner import Planner
 from fallpulley.shards.agent import ShardAgent
@@ -51,8 +48,7 @@
         occupancy: OccupancyFlags,
         balancer: ShardBalancer,
         heartbeats: HeartbeatHandler,
-        peers: Peers,
-        health: Health,
+        peer_exchange: PeerExchange,
         owned_shards: OwnedShards,
         extensions: Extensions,
     ) -> None:
@@ -70,13 +66,9 @@
         self.occupancy = occupancy
         self.balancer = balancer
         self.heartbeats = heartbeats
-        self.peers = peers
-        self.health = health
+        self.peer_exchange = peer_exchange
         self.owned_shards = owned_shards
         self.extensions = extensions
-        # Requests for machines that the next heartbeat carries.
-        self._machine_requests: list[MachineRequest] = []
-        self._task_counts = TaskCountRotation()
         self._next_tick_at = float("-inf")
         self._next_occupancy_at = float("-inf")
 
@@ -118,8 +110,7 @@
         for extension in self.extensions:
             extension.on_shards_checked()
         self.writer.tick()
-        if self.peers.is_heartbeat_due():
-            self._exchange_with_peers(term is not None)
+        self.peer_exchange.tick(term is not None)
 
     def _tick_shard(self, agent: ShardAgent, occupancy_due: bool, leading: bool) -> None:
         shard = agent.shard
@@ -152,35 +143,4 @@
     def _scale(self, agent: ShardAgent, leading: bool) -> None:
         if agent.shard.unreconciled and leading:
             self.autoscaler.release_unreachable(agent.shard)
-        machine_requests = self.autoscaler.tick(agent.shard, leading)
-        if machine_requests:
-            self._machine_requests += machine_requests
-
-    def _exchange_with_peers(self, leading: bool) -> None:
-        task_counts = self._current_task_counts()
-        if leading:
-            self.provider.target_sizes = self.balancer.target_sizes()
-        if not self.extensions.balances_shards:
-            self.balancer.rebalance(self.owned_shards.shards)
-        self.peers.send_heartbeat(
-            self.health.staleness_s(),
-            task_counts,
-            self._machine_requests,
-            self.provider.target_sizes,
-        )
-        self._machine_requests = []
-        if leading and (refusals := self.provider.refusals_to_announce()):
-            self.peers.send_rental_refusals(refusals)
-
-    def _current_task_counts(self) -> list[TaskCount]:
-        """Return the task counts that the next heartbeat carries, as many as fit.
-
-        Also updates the job service's counts of all owned jobs.
-        """
-        task_counts = {}
-        for shard in self.owned_shards.shards.values():
-            for job in shard.jobs.values():
-                if not job.ended:
-                    task_counts[job.job_id] = (job.progress.completed.count, len(job.runs))
-        self.jobs.task_counts.update(task_counts)
-        return self._task_counts.next_entries(task_counts)
+        self.peer_exchange.add_machine_requests(self.autoscaler.tick(agent.shard, leading))
--- a/fallpulley/controller/wiring.py
+++ b/fallpulley/controller/wiring.py
@@ -10,6 +10,7 @@
 from fallpulley.controller.cancellation_announcer import CancellationAnnouncer
 from fallpulley.controller.health import Health
 from fallpulley.controller.job_sync import JobSync
+from fallpulley.controller.peer_exchange import PeerExchange
 from fallpulley.controller.peer_messages import PeerMessageHandler
 from fallpulley.controller.periodic import PeriodicTasks
 from fallpulley.controller.record_dispatch import RecordDispatcher
@@ -100,6 +101,7 @@
     lifecycle = ShardLifecycle(context, registry, writer, owned_shards, job_sync, extensions)
     dispatcher = RecordDispatcher(context, registry, job_sync, lifecycle, extensions)
     watch.subscribe(dispatcher.on_key_changed)
+    balancer = ShardBalancer(context, registry, session, leadership, writer, provider, jobs, peers)
     periodic = PeriodicTasks(
         context,
         watch,
@@ -113,10 +115,9 @@
         JobPersistence(context),
         planner,
         OccupancyFlags(context, writer),
-        ShardBalancer(context, registry, session, leadership, writer, provider, jobs, peers),
+        balancer,
         heartbeats,
-        peers,
-        health,
+        PeerExchange(peers, health, jobs, provider, balancer, owned_shards, extensions),
         owned_shards,
         extensions,
     )
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -516,6 +516,11 @@
     def shards(self) -> dict[str, Any]:
         return {k: v for k, (v, _, _) in self.state.entries.items() if k.startswith("live/block/")}
 
+    def recorded_machines(self) -> set[str]:
+        """Return the machines of all shards' records, as the first controller knows them."""
+        registry = next(iter(self.controllers.values())).components.registry
+        return set(registry.shard_of_machine)
+
     def task_duration_s(self, task_id: str) -> float:
         return self.task_durations_s.get(task_id.partition("/")[0], 4.0)
 
--- a/tests/test_growing_pages.py
+++ b/tests/test_growing_pages.py
@@ -41,11 +41,6 @@
     cluster.run_until(lambda: len(cluster.running_tasks()) == 2 * MACHINES, 50.0)
 
 
-def recorded_machines(cluster: SimulatedCluster) -> set[str]:
-    registry = next(iter(cluster.controllers.values())).components.registry
-    return set(registry.shard_of_machine)
-
-
 def machines_in_release_records(cluster: SimulatedCluster) -> set[str]:
     return {
         machine_id
@@ -65,7 +60,7 @@
     cluster = growing_cluster(txn_ops)
     start_two_tasks_on_each_machine(cluster)
     assert len(cluster.task_starts) == 2 * MACHINES
-    assert recorded_machines(cluster) == set(cluster.workers)
+    assert cluster.recorded_machines() == set(cluster.workers)
     revision = cluster.state.revision
     cluster.run(10.0)
     assert cluster.state.revision - revision <= 1  # nothing is written again and again
@@ -95,7 +90,7 @@
     cluster.start_controller(owner)
     cluster.run_until(lambda: len(cluster.running_tasks()) == 2 * MACHINES, 80.0)
     assert len(cluster.task_starts) == 2 * MACHINES
-    assert recorded_machines(cluster) == set(cluster.workers)
+    assert cluster.recorded_machines() == set(cluster.workers)
     assert cluster.state.oversized_transactions == 0
 
 
--- a/tests/test_page_repair.py
+++ b/tests/test_page_repair.py
@@ -89,7 +89,7 @@
     """Guards against a machine that is paid for and never used again."""
     cluster = SimulatedCluster(machines=4)
     cluster.run_until(lambda: cluster.shards() != {}, 20.0)
-    cluster.run_until(lambda: len(recorded_machines(cluster)) == 4, 20.0)
+    cluster.run_until(lambda: len(cluster.recorded_machines()) == 4, 20.0)
     (key,) = cluster.shards()
     record, _, lease_id = cluster.state.entries[key]
     header = decode_shard_header(msgspec.json.encode(record))
@@ -99,17 +99,13 @@
     damaged = record | {"runs": msgspec.json.decode(msgspec.json.encode(pack_runs(kept)))}
     cluster.state.entries[key] = (damaged, cluster.state.revision, lease_id)
     cluster.state.log.append({"set": key, "v": damaged, "stamp": cluster.state.revision})
-    cluster.run_until(lambda: lost not in recorded_machines(cluster), 2.0)
-    cluster.run_until(lambda: lost in recorded_machines(cluster), 20.0)
+    cluster.run_until(lambda: lost not in cluster.recorded_machines(), 2.0)
+    cluster.run_until(lambda: lost in cluster.recorded_machines(), 20.0)
     # It gets tasks again, like all others: three machines are too few for these eight.
     cluster.request("node-0", "POST", "/work", job_spec(1, pieces=8))
     cluster.run_until(lambda: bool(cluster.workers[lost].running_tasks()), 20.0)
 
 
-def recorded_machines(cluster: SimulatedCluster) -> set[str]:
-    return set(cluster.controllers["node-0"].components.registry.shard_of_machine)
-
-
 def page_errors(caplog: pytest.LogCaptureFixture) -> list[str]:
     return [record.getMessage() for record in caplog.records if "key=" in record.getMessage()]
 
