Announce refusals longer than short back-offs, and leave these as they were

Now the back-off is as before, and the leader announces a refusal for three heartbeats to its peers even if its own back-off is shorter. The test with 1 s of boot time holds as before, and so does the older test.

--- a/fallpulley/fleet/rentals.py
+++ b/fallpulley/fleet/rentals.py
@@ -96,7 +96,7 @@
 
     def refusals_to_announce(self) -> list[RefusedOffer]:
         """Return the refused offers as the leader announces them to the other controllers."""
-        remaining_s = self._refused_offers.remaining_s(self.context.now)
+        remaining_s = self._refused_offers.to_announce(self.context.now)
         return [RefusedOffer(*offer, wait_s) for offer, wait_s in remaining_s.items()]
 
     def on_refusals_announced(self, refusals: list[RefusedOffer]) -> None:
