Announce refusals only to other owners of shards

The recipients are those that the shards' records name. RefusalAnnouncer sends them, as CancellationAnnouncer does with cancellations.

--- a/fallpulley/controller/peer_exchange.py
+++ b/fallpulley/controller/peer_exchange.py
@@ -4,6 +4,7 @@
 
 from fallpulley.balancing.balancer import ShardBalancer
 from fallpulley.controller.health import Health
+from fallpulley.controller.refusal_announcer import RefusalAnnouncer
 from fallpulley.extensions import Extensions
 from fallpulley.fleet.provider import MachineProvider
 from fallpulley.jobs.service import JobService
@@ -23,6 +24,7 @@
         jobs: JobService,
         provider: MachineProvider,
         balancer: ShardBalancer,
+        refusal_announcer: RefusalAnnouncer,
         owned_shards: OwnedShards,
         extensions: Extensions,
     ) -> None:
@@ -31,6 +33,7 @@
         self.jobs = jobs
         self.provider = provider
         self.balancer = balancer
+        self.refusal_announcer = refusal_announcer
         self.owned_shards = owned_shards
         self.extensions = extensions
         # Requests for machines that the next heartbeat carries.
@@ -57,8 +60,8 @@
             self.provider.target_sizes,
         )
         self._machine_requests = []
-        if leading and (refusals := self.provider.refusals_to_announce()):
-            self.peers.send_rental_refusals(refusals)
+        if leading:
+            self.refusal_announcer.announce()
 
     def _current_task_counts(self) -> list[TaskCount]:
         """Return the task counts that the next heartbeat carries, as many as fit.
--- a/fallpulley/controller/wiring.py
+++ b/fallpulley/controller/wiring.py
@@ -14,6 +14,7 @@
 from fallpulley.controller.peer_messages import PeerMessageHandler
 from fallpulley.controller.periodic import PeriodicTasks
 from fallpulley.controller.record_dispatch import RecordDispatcher
+from fallpulley.controller.refusal_announcer import RefusalAnnouncer
 from fallpulley.controller.router import Router
 from fallpulley.controller.shard_lifecycle import ShardLifecycle
 from fallpulley.controller_access import ControllerAccess
@@ -102,6 +103,10 @@
     dispatcher = RecordDispatcher(context, registry, job_sync, lifecycle, extensions)
     watch.subscribe(dispatcher.on_key_changed)
     balancer = ShardBalancer(context, registry, session, leadership, writer, provider, jobs, peers)
+    refusal_announcer = RefusalAnnouncer(context, registry, provider, peers)
+    peer_exchange = PeerExchange(
+        peers, health, jobs, provider, balancer, refusal_announcer, owned_shards, extensions
+    )
     periodic = PeriodicTasks(
         context,
         watch,
@@ -117,7 +122,7 @@
         OccupancyFlags(context, writer),
         balancer,
         heartbeats,
-        PeerExchange(peers, health, jobs, provider, balancer, owned_shards, extensions),
+        peer_exchange,
         owned_shards,
         extensions,
     )
--- a/fallpulley/mesh/peers.py
+++ b/fallpulley/mesh/peers.py
@@ -75,12 +75,14 @@
             machine_requests,
             target_sizes,
         )
-        self._send_to_all(msgspec.json.encode(heartbeat))
+        body = msgspec.json.encode(heartbeat)
+        for peer in self.context.settings.peers:
+            self._post(peer.address, body)
 
-    def send_rental_refusals(self, offers: list[RefusedOffer]) -> None:
-        """As the leader, notify all peers of the offers that the cloud refuses."""
+    def send_rental_refusals(self, controller_id: str, offers: list[RefusedOffer]) -> None:
+        """As the leader, notify a shard's owner of the offers that the cloud refuses."""
         message = RentalRefusals(self.context.incarnation, self.context.wall_time, offers)
-        self._send_to_all(msgspec.json.encode(message))
+        self.send(controller_id, msgspec.json.encode(message))
 
     def send_cancellations(self, controller_id: str, job_ids: list[str]) -> None:
         """Notify a shard's owner of cancelled jobs; a lost message does no harm."""
@@ -94,10 +96,6 @@
             if peer.controller_id == controller_id:
                 self._post(peer.address, body)
 
-    def _send_to_all(self, body: bytes) -> None:
-        for peer in self.context.settings.peers:
-            self._post(peer.address, body)
-
     def _post(self, address: str, body: bytes) -> None:
         self.context.call(
             address,
