One size of values, and no new set for each machine of a record

`_update_single_value` made a set of all removed machines anew for each machine of the record; it removes them from a copy now. The size of changes' values stood twice and is `values_size`. The record that is written is the same.

--- a/fallpulley/shared_records/record_update.py
+++ b/fallpulley/shared_records/record_update.py
@@ -38,11 +38,9 @@
     shard_id: str, record: ShardRecord, mod_revision: int, change: ShardChange, limits: RecordLimits
 ) -> RecordUpdate:
     removed = [machine_id for machine_id in change.remove if machine_id in record.machines]
-    kept = {
-        machine_id: entry
-        for machine_id, entry in record.machines.items()
-        if machine_id not in set(removed)
-    }
+    kept = dict(record.machines)
+    for machine_id in removed:
+        kept.pop(machine_id, None)
     # A machine that the record has already keeps its entry, which may flag it as occupied.
     present = [machine_id for machine_id in change.add if machine_id in kept]
     absent = [machine_id for machine_id in change.add if machine_id not in kept]
--- a/fallpulley/shared_records/shard_change.py
+++ b/fallpulley/shared_records/shard_change.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from fallpulley.shared_records.machine_encoding import MachineEntry, Machines
-from fallpulley.state.transactions import MAX_TRANSACTION_BYTES, Change
+from fallpulley.state.transactions import MAX_TRANSACTION_BYTES, Change, values_size
 
 
 class RecordLimits(msgspec.Struct, frozen=True):
@@ -64,4 +64,4 @@
     @property
     def size(self) -> int:
         """The total size of all values, in bytes."""
-        return sum(len(change.value or b"") for change in self.changes)
+        return values_size(self.changes)
--- a/fallpulley/shared_records/transactions.py
+++ b/fallpulley/shared_records/transactions.py
@@ -17,7 +17,7 @@
 from fallpulley.shared_records.shard_change import RecordLimits, RecordUpdate, ShardChange
 from fallpulley.shared_records.shard_record import MachineEntry, Machines, ShardRecord
 from fallpulley.shared_records.versioned import Versioned
-from fallpulley.state.transactions import MAX_TRANSACTION_BYTES, Change
+from fallpulley.state.transactions import MAX_TRANSACTION_BYTES, Change, values_size
 
 log = logging.getLogger(__name__)
 
@@ -52,7 +52,7 @@
         """
         removed = select_releasable(pending.removing, self._record_format)
         change = ShardChange(pending.adding, removed, pending.occupancy, self._addresses)
-        release_bytes = _total_size(release_changes(removed, self._record_format))
+        release_bytes = values_size(release_changes(removed, self._record_format))
         update = self._update(
             shard_id,
             shard,
@@ -154,10 +154,6 @@
         )
 
 
-def _total_size(changes: list[Change]) -> int:
-    return sum(len(change.value or b"") for change in changes)
-
-
 def without_previous_owners(shard: Versioned[ShardRecord]) -> Versioned[ShardRecord]:
     """Return the record without its previous owners, whose response windows have ended."""
     return Versioned(msgspec.structs.replace(shard.value, previous_owners=[]), shard.mod_revision)
--- a/fallpulley/state/transactions.py
+++ b/fallpulley/state/transactions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import IntEnum
 from http import HTTPStatus
 
@@ -85,6 +85,11 @@
         return entry
 
 
+def values_size(changes: Iterable[Change]) -> int:
+    """Return the total size of the changes' values, in bytes; deletions have none."""
+    return sum(len(change.value or b"") for change in changes)
+
+
 class Write(msgspec.Struct):
     """Changes that are carried out all or not at all, and only if all conditions hold.
 
