--- a/fallpulley/fleet/autoscaler.py
+++ b/fallpulley/fleet/autoscaler.py
@@ -18,6 +18,7 @@
     rented_supply,
     requested_supply,
 )
+from fallpulley.fleet.unmet_demand import UnmetDemandLog
 from fallpulley.mesh.messages import MachineRequest
 from fallpulley.shards.shard import Shard
 from fallpulley.shared_records.registry import Registry
@@ -63,6 +64,7 @@
         # Seconds from the last sizing to the next, by shard_id.
         self._interval_s: dict[str, float] = {}
         self._sent_requests = SentRequests()
+        self._unmet_demand_log = UnmetDemandLog()
 
     def tick(self, shard: Shard, leading: bool) -> list[MachineRequest]:
         """Size the shard's fleet if a sizing is due: abandon machines and rent others.
@@ -108,6 +110,7 @@
         if not self._is_work_known(shard):
             return []
         plan = self._plan_size(shard, leading, elapsed_s)
+        self._unmet_demand_log.record(shard.shard_id, plan.unmet, self.context.now)
         for machine_id in plan.scale_in:
             self.abandoner.abandon(shard, shard.machines[machine_id], AbandonReason.IDLE)
         if leading:
--- a/fallpulley/fleet/sizing.py
+++ b/fallpulley/fleet/sizing.py
@@ -49,6 +49,7 @@
     largest_task_cpus: float  # processors of the largest task
     largest_gang_cpus: float = 0.0  # processors of the largest gang, whose tasks start together
     urgent: bool = False  # the work has a high priority
+    task_count: int = 0  # waiting and running tasks; 0: all work has ended
 
     @classmethod
     def from_key(cls, key: DemandKey, work: float = 0.0) -> DemandGroup:
@@ -87,11 +88,21 @@
     count: int
 
 
+class UnmetDemand(msgspec.Struct):
+    """A group that lacks processors and for which no machine is rented."""
+
+    group: DemandGroup
+    usable_machines: int  # machines of the supply that the group's jobs allow
+    missing_cpus: float
+    all_refused: bool  # the cloud refuses every offer that suits the group
+
+
 class SizingPlan(msgspec.Struct):
     """The machines to rent for a shard and to release from it."""
 
     scale_out: list[PlannedRental]
     scale_in: list[str]  # machine_ids of idle machines to release
+    unmet: list[UnmetDemand]
 
 
 class PricedOffer(NamedTuple):
@@ -131,6 +142,10 @@
                         found.append(PricedOffer(price / cpus, offer))
         return sorted(found)
 
+    def available(self, offers: list[PricedOffer]) -> list[PricedOffer]:
+        """Return the offers that were not refused recently, in the same order."""
+        return [priced for priced in offers if priced.offer not in self.refused_offers]
+
 
 def size_fleet(
     groups: list[DemandGroup],
@@ -149,6 +164,7 @@
     """
     market = Market(machine_types, refused_offers)
     scale_out: list[PlannedRental] = []
+    unmet: list[UnmetDemand] = []
     free_cpus = {machine.machine_id: machine.cpus for machine in supply}
     for group in sorted(groups, key=_restriction_key):
         boot_s = _shortest_boot_s(group, machine_types)
@@ -156,11 +172,16 @@
             continue  # no machine type fits the group
         offers = market.offers_for(group)
         wanted = _wanted_cpus(group, drain_boots * boot_s, _is_scarce(offers, refused_offers))
-        missing = _allocate_supply(group, wanted, supply, free_cpus)
-        rentals = _rentals_for(missing, offers, market, max_new_machines)
+        usable = _usable_machines(group, supply)
+        missing = _allocate_supply(wanted, usable, free_cpus)
+        available = market.available(offers)
+        rentals = _rentals_for(missing, available, market, max_new_machines)
         max_new_machines -= sum(rental.count for rental in rentals)
         scale_out += rentals
-    return SizingPlan(scale_out, _machines_idle_too_long(supply, free_cpus, market, idle_boots))
+        if missing > 0 and not rentals:
+            unmet.append(UnmetDemand(group, len(usable), missing, not available))
+    scale_in = _machines_idle_too_long(supply, free_cpus, market, idle_boots)
+    return SizingPlan(scale_out, scale_in, unmet)
 
 
 def _restriction_key(group: DemandGroup) -> tuple[bool, bool, bool]:
@@ -202,13 +223,8 @@
     return max(wanted, group.largest_gang_cpus)
 
 
-def _allocate_supply(
-    group: DemandGroup, wanted: float, supply: list[SupplyUnit], free_cpus: dict[str, float]
-) -> float:
-    """Allocate free processors of the supply to the group, lowering `free_cpus`.
-
-    Returns the number of processors still missing; 0 or less means that none are.
-    """
+def _usable_machines(group: DemandGroup, supply: list[SupplyUnit]) -> list[SupplyUnit]:
+    """Return the machines that the group's jobs allow, in the order in which it gets them."""
     # Spot machines come first, as some groups may not use them. Then machines that are in use,
     # then the most recently idle: this way machines idle for long stay idle and can be released.
     usable = [
@@ -219,6 +235,14 @@
     usable.sort(
         key=lambda machine: (not machine.spot, machine.idle_s is not None, machine.idle_s or 0.0)
     )
+    return usable
+
+
+def _allocate_supply(wanted: float, usable: list[SupplyUnit], free_cpus: dict[str, float]) -> float:
+    """Allocate free processors of the usable machines, lowering `free_cpus`.
+
+    Returns the number of processors still missing; 0 or less means that none are.
+    """
     for machine in usable:
         allocated = min(free_cpus[machine.machine_id], wanted)
         free_cpus[machine.machine_id] -= allocated
@@ -229,13 +253,12 @@
 
 
 def _rentals_for(
-    missing_cpus: float, offers: list[PricedOffer], market: Market, max_new_machines: int
+    missing_cpus: float, available: list[PricedOffer], market: Market, max_new_machines: int
 ) -> list[PlannedRental]:
-    """Spread the missing processors evenly over the cheapest offers that are not refused.
+    """Spread the missing processors evenly over the cheapest of the available offers.
 
     These are usually the offers of one machine type in several zones.
     """
-    available = [priced for priced in offers if priced.offer not in market.refused_offers]
     if missing_cpus <= 0 or not available:
         return []
     max_price = available[0].price_per_cpu * EQUAL_PRICE_RATIO
--- /dev/null
+++ b/fallpulley/fleet/unmet_demand.py
@@ -0,0 +1,50 @@
+"""Log lines about work that no machine can take and for which none is rented."""
+
+from __future__ import annotations
+
+import logging
+
+from fallpulley.fleet.sizing import DemandKey, UnmetDemand
+
+log = logging.getLogger(__name__)
+
+# Least time between two lines about the same group of work, in seconds. Refused offers are
+# requested again every few seconds, and a request counts as supply until it is refused.
+LOG_INTERVAL_SECONDS = 60.0
+
+
+class UnmetDemandLog:
+    """Logs groups of a shard's work that have tasks and no machine, each now and then."""
+
+    def __init__(self) -> None:
+        self._logged_at: dict[tuple[str, DemandKey], float] = {}  # by shard_id and group
+
+    def record(self, shard_id: str, unmet: list[UnmetDemand], now: float) -> None:
+        """Log the groups without any machine, given what a sizing of the shard left unmet."""
+        self._forget_before(now - LOG_INTERVAL_SECONDS)
+        for demand in unmet:
+            key = (shard_id, demand.group.key)
+            without_machine = demand.group.task_count > 0 and demand.usable_machines == 0
+            if without_machine and key not in self._logged_at:
+                self._logged_at[key] = now
+                _log_demand(shard_id, demand)
+
+    def _forget_before(self, oldest_at: float) -> None:
+        self._logged_at = {
+            key: logged_at for key, logged_at in self._logged_at.items() if logged_at > oldest_at
+        }
+
+
+def _log_demand(shard_id: str, demand: UnmetDemand) -> None:
+    group = demand.group
+    log.info(
+        "no machine for work and none rented shard=%s types=%s zone=%s spot=%s tasks=%d"
+        " missing_cpus=%.2f all_refused=%s",
+        shard_id,
+        ",".join(group.machine_types) if group.machine_types is not None else "any",
+        group.zone or "any",
+        group.allow_spot,
+        group.task_count,
+        demand.missing_cpus,
+        demand.all_refused,
+    )
