--- a/fallpulley/fleet/sizing.py
+++ b/fallpulley/fleet/sizing.py
@@ -14,6 +14,7 @@
 
 from fallpulley.cloud.messages import DEFAULT_BOOT_SECONDS, MAX_RENTED_MACHINES, MachineType
 from fallpulley.cloud.offer import Offer
+from fallpulley.resources import TOLERANCE
 
 # Time in which urgent work should be completed, as a share of the usual time.
 URGENT_DRAIN_SHARE = 0.5
@@ -26,7 +27,8 @@
 # Offers whose prices per processor differ by at most this ratio count as equally cheap.
 EQUAL_PRICE_RATIO = 1.001
 
-# If at most this share of a machine is missing, no further machine is rented for it.
+# If at most this share of a machine is missing, no further machine is rented for it: the group's
+# other machines do the work, if it has any that can.
 MAX_UNRENTED_SHARE = 0.25
 
 
@@ -89,10 +91,9 @@
 
 
 class UnmetDemand(msgspec.Struct):
-    """A group that lacks processors and for which no machine is rented."""
+    """A group with tasks that can never start, as no machine is rented for them."""
 
     group: DemandGroup
-    usable_machines: int  # machines of the supply that the group's jobs allow
     missing_cpus: float
     all_refused: bool  # the cloud refuses every offer that suits the group
 
@@ -118,6 +119,10 @@
     machine_types: dict[str, MachineType]  # by name
     refused_offers: set[Offer]  # refused recently, not to be requested yet
 
+    def cpus_of(self, offer: Offer) -> float:
+        """Return the processors of a machine of the offer, whose type must be in the catalog."""
+        return self.machine_types[offer.machine_type].cpus
+
     def boot_s(self, type_name: str) -> float:
         """Return the boot time of a type in seconds, or the default if it is no longer offered."""
         machine_type = self.machine_types.get(type_name)
@@ -163,8 +168,7 @@
     `max_new_machines` are rented.
     """
     market = Market(machine_types, refused_offers)
-    scale_out: list[PlannedRental] = []
-    unmet: list[UnmetDemand] = []
+    plan = SizingPlan([], [], [])
     free_cpus = {machine.machine_id: machine.cpus for machine in supply}
     for group in sorted(groups, key=_restriction_key):
         boot_s = _shortest_boot_s(group, machine_types)
@@ -173,15 +177,16 @@
         offers = market.offers_for(group)
         wanted = _wanted_cpus(group, drain_boots * boot_s, _is_scarce(offers, refused_offers))
         usable = _usable_machines(group, supply)
+        required = _required_cpus(group, usable, plan.scale_out, market)
         missing = _allocate_supply(wanted, usable, free_cpus)
         available = market.available(offers)
-        rentals = _rentals_for(missing, available, market, max_new_machines)
+        rentals = _rentals_for(missing, required, available, market, max_new_machines)
         max_new_machines -= sum(rental.count for rental in rentals)
-        scale_out += rentals
-        if missing > 0 and not rentals:
-            unmet.append(UnmetDemand(group, len(usable), missing, not available))
-    scale_in = _machines_idle_too_long(supply, free_cpus, market, idle_boots)
-    return SizingPlan(scale_out, scale_in, unmet)
+        plan.scale_out += rentals
+        if required > 0 and not rentals:
+            plan.unmet.append(UnmetDemand(group, max(missing, required), not available))
+    plan.scale_in = _machines_idle_too_long(supply, free_cpus, market, idle_boots)
+    return plan
 
 
 def _restriction_key(group: DemandGroup) -> tuple[bool, bool, bool]:
@@ -238,6 +243,26 @@
     return usable
 
 
+def _required_cpus(
+    group: DemandGroup, usable: list[SupplyUnit], planned: list[PlannedRental], market: Market
+) -> float:
+    """Return the processors without which a task of the group never starts; 0 if it has them.
+
+    The rest of the work can wait for the machines that the group has, this cannot. `planned` are
+    the rentals for other groups, which this group may use too.
+    """
+    if group.task_count == 0:
+        return 0.0
+    machine_cpus = [machine.cpus for machine in usable]
+    for rental in planned:
+        if group.may_use(*rental.offer):
+            machine_cpus += [market.cpus_of(rental.offer)] * rental.count
+    if not machine_cpus:
+        return max(group.largest_task_cpus, group.largest_gang_cpus, TOLERANCE)
+    missing_for_gang = group.largest_gang_cpus - sum(machine_cpus)
+    return missing_for_gang if missing_for_gang > TOLERANCE else 0.0
+
+
 def _allocate_supply(wanted: float, usable: list[SupplyUnit], free_cpus: dict[str, float]) -> float:
     """Allocate free processors of the usable machines, lowering `free_cpus`.
 
@@ -253,27 +278,32 @@
 
 
 def _rentals_for(
-    missing_cpus: float, available: list[PricedOffer], market: Market, max_new_machines: int
+    missing_cpus: float,
+    required_cpus: float,
+    available: list[PricedOffer],
+    market: Market,
+    max_new_machines: int,
 ) -> list[PlannedRental]:
     """Spread the missing processors evenly over the cheapest of the available offers.
 
-    These are usually the offers of one machine type in several zones.
+    These are usually the offers of one machine type in several zones. The number of machines is
+    rounded to the nearest that is worth its price, and never below the required processors.
     """
-    if missing_cpus <= 0 or not available:
-        return []
-    max_price = available[0].price_per_cpu * EQUAL_PRICE_RATIO
+    max_price = available[0].price_per_cpu * EQUAL_PRICE_RATIO if available else 0.0
     cheapest = [priced.offer for priced in available if priced.price_per_cpu <= max_price]
     rentals = []
     for index, offer in enumerate(cheapest):
-        cpus = market.machine_types[offer.machine_type].cpus
-        share = missing_cpus / (len(cheapest) - index)
-        count = min(
-            math.ceil(share / cpus - MAX_UNRENTED_SHARE), max_new_machines, MAX_RENTED_MACHINES
-        )
+        cpus = market.cpus_of(offer)
+        offers_left = len(cheapest) - index
+        count = math.ceil(missing_cpus / offers_left / cpus - MAX_UNRENTED_SHARE)
+        if offers_left == 1:
+            count = max(count, math.ceil(required_cpus / cpus))
+        count = min(count, max_new_machines, MAX_RENTED_MACHINES)
         if count > 0:
             rentals.append(PlannedRental(offer, count))
             max_new_machines -= count
             missing_cpus -= count * cpus
+            required_cpus -= count * cpus
     return rentals
 
 
--- a/fallpulley/fleet/unmet_demand.py
+++ b/fallpulley/fleet/unmet_demand.py
@@ -14,18 +14,17 @@
 
 
 class UnmetDemandLog:
-    """Logs groups of a shard's work that have tasks and no machine, each now and then."""
+    """Logs groups of a shard's work that have tasks without a machine, each now and then."""
 
     def __init__(self) -> None:
         self._logged_at: dict[tuple[str, DemandKey], float] = {}  # by shard_id and group
 
     def record(self, shard_id: str, unmet: list[UnmetDemand], now: float) -> None:
-        """Log the groups without any machine, given what a sizing of the shard left unmet."""
+        """Log what a sizing of the shard left unmet."""
         self._forget_before(now - LOG_INTERVAL_SECONDS)
         for demand in unmet:
             key = (shard_id, demand.group.key)
-            without_machine = demand.group.task_count > 0 and demand.usable_machines == 0
-            if without_machine and key not in self._logged_at:
+            if key not in self._logged_at:
                 self._logged_at[key] = now
                 _log_demand(shard_id, demand)
 
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 
 import pytest
 
+from tests.simulated_cluster import SimulatedCluster
 from tests.test_jobs_and_takeovers import ready_cluster, submit_job
+from tests.test_leader_rentals import give_shard_to_follower
 
 ALL_OFFERS = {("a", True), ("a", False), ("b", True), ("b", False)}
 
@@ -23,3 +26,64 @@
     line = caplog.records[0].getMessage()
     assert "shard=node-0 types=any zone=b spot=True tasks=4 missing_cpus=" in line
     assert line.endswith("all_refused=True")
+
+
+def rented_machines(cluster: SimulatedCluster) -> int:
+    return sum(len(hosts) for hosts in cluster.rentals.values())
+
+
+@pytest.mark.parametrize(
+    "overrides",
+    [{}, {"hall": "b"}, {"loaners": False}, {"rank": "high"}, {"expect_s": 0.01}, {"cpus": 0.0}],
+    ids=["any", "zone", "on-demand", "urgent", "short", "no processors"],
+)
+def test_job_that_needs_a_small_part_of_a_machine_gets_one(overrides: dict[str, object]) -> None:
+    # Guards against a job that waits for ever since what it needs is rounded down to no machine.
+    cluster = ready_cluster(0)
+    uid = submit_job(cluster, 1, **{"pieces": 2, "cpus": 0.5, "mem_gb": 0.0} | overrides)
+    cluster.run_until(lambda: cluster.job_state(uid) == "done", 30.0)
+    cluster.run(30.0)
+    # The machine has gone back, and none is rented for work that has ended.
+    assert rented_machines(cluster) == 1 and not cluster.workers
+
+
+def test_small_job_gets_a_machine_while_others_are_in_use_elsewhere() -> None:
+    # Guards against a job whose need is rounded down since its shard has machines, in another zone.
+    cluster = ready_cluster(0)
+    long_job = submit_job(cluster, 1, hall="a", pieces=4)
+    cluster.task_durations_s[long_job] = 100.0
+    cluster.run_until(lambda: len(cluster.running_tasks(long_job)) == 4, 30.0)
+    small_job = submit_job(cluster, 2, hall="b", pieces=1, cpus=1.0)
+    cluster.run_until(lambda: cluster.job_state(small_job) == "done", 30.0)
+
+
+def test_owner_that_does_not_lead_gets_a_machine_for_a_small_job() -> None:
+    # Guards against a small need that is rounded down on its way to the leader.
+    cluster = ready_cluster(1)
+    give_shard_to_follower(cluster)
+    assert not cluster.workers
+    uid = submit_job(cluster, 1, pieces=1, cpus=0.5)
+    cluster.run_until(lambda: cluster.job_state(uid) == "done", 30.0)
+    assert rented_machines(cluster) == 1
+
+
+def test_small_jobs_that_may_use_the_same_machine_get_one_together() -> None:
+    # Guards against a machine for each group of small jobs, which one machine can take together.
+    cluster = ready_cluster(0)
+    jobs = [
+        submit_job(cluster, uid, pieces=1, cpus=0.5, loaners=loaners, rank=rank)
+        for uid, (loaners, rank) in enumerate(
+            itertools.product([True, False], ["high", "standard"])
+        )
+    ]
+    for uid in jobs:
+        cluster.run_until(lambda uid=uid: cluster.job_state(uid) == "done", 30.0)
+    assert rented_machines(cluster) == 1
+
+
+def test_gang_that_lacks_a_small_part_of_a_machine_gets_another() -> None:
+    # Guards against a gang that waits for ever since the machine of its last task is rounded down.
+    cluster = ready_cluster(0)
+    uid = submit_job(cluster, 1, shape="ensemble", pieces=17, cpus=1.0, mem_gb=1.0)
+    cluster.run_until(lambda: cluster.job_state(uid) == "done", 40.0)
+    assert rented_machines(cluster) == 3
