--- a/fallpulley/fleet/sizing.py
+++ b/fallpulley/fleet/sizing.py
@@ -230,15 +230,22 @@
 
 def _usable_machines(group: DemandGroup, supply: list[SupplyUnit]) -> list[SupplyUnit]:
     """Return the machines that the group's jobs allow, in the order in which it gets them."""
-    # Spot machines come first, as some groups may not use them. Then machines that are in use,
-    # then the most recently idle: this way machines idle for long stay idle and can be released.
+    # Machines that can take any task of the group come first, so that they are not released while
+    # smaller ones are kept. Then spot machines, as some groups may not use them. Then machines that
+    # are in use, then the most recently idle: this way machines idle for long stay idle and can be
+    # released.
     usable = [
         machine
         for machine in supply
         if group.may_use(machine.machine_type, machine.zone, machine.spot)
     ]
     usable.sort(
-        key=lambda machine: (not machine.spot, machine.idle_s is not None, machine.idle_s or 0.0)
+        key=lambda machine: (
+            machine.cpus < group.largest_task_cpus,
+            not machine.spot,
+            machine.idle_s is not None,
+            machine.idle_s or 0.0,
+        )
     )
     return usable
 
@@ -257,7 +264,7 @@
     for rental in planned:
         if group.may_use(*rental.offer):
             machine_cpus += [market.cpus_of(rental.offer)] * rental.count
-    if not machine_cpus:
+    if not machine_cpus or max(machine_cpus) < group.largest_task_cpus:
         return max(group.largest_task_cpus, group.largest_gang_cpus, TOLERANCE)
     missing_for_gang = group.largest_gang_cpus - sum(machine_cpus)
     return missing_for_gang if missing_for_gang > TOLERANCE else 0.0
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -7,6 +7,15 @@
 
 import pytest
 
+from fallpulley.cloud.messages import MachineType
+from fallpulley.cloud.offer import Offer
+from fallpulley.fleet.sizing import (
+    DemandGroup,
+    PlannedRental,
+    SizingPlan,
+    SupplyUnit,
+    size_fleet,
+)
 from tests.simulated_cluster import SimulatedCluster
 from tests.test_jobs_and_takeovers import ready_cluster, submit_job
 from tests.test_leader_rentals import give_shard_to_follower
@@ -87,3 +96,25 @@
     uid = submit_job(cluster, 1, shape="ensemble", pieces=17, cpus=1.0, mem_gb=1.0)
     cluster.run_until(lambda: cluster.job_state(uid) == "done", 40.0)
     assert rented_machines(cluster) == 3
+
+
+SMALL_TYPE = MachineType("small", 8.0, 0.0, 32.0, 1.0, 0.3, 40.0, ["a"])
+LARGE_TYPE = MachineType("large", 16.0, 0.0, 64.0, 1.0, 0.9, 40.0, ["a"])
+
+
+def size_for_large_task(supply: list[SupplyUnit]) -> SizingPlan:
+    """Size the fleet for one task that needs a large machine."""
+    group = DemandGroup(True, None, None, 60.0, 12.0, task_count=1)
+    machine_types = {"small": SMALL_TYPE, "large": LARGE_TYPE}
+    return size_fleet([group], supply, machine_types, set(), 1.3, 0.5, 100)
+
+
+def test_large_task_gets_a_machine_beside_small_ones_with_enough_processors_in_sum() -> None:
+    # Guards against a task that waits for ever beside machines each of which is too small for it.
+    small = [SupplyUnit(f"s{number}", "small", "a", True, 8.0, 100.0) for number in range(3)]
+    plan = size_for_large_task(small)
+    assert plan.scale_out == [PlannedRental(Offer("large", "a", True), 1)]
+    # It is kept until the task is done, however long it is idle and whatever else is there.
+    plan = size_for_large_task([*small, SupplyUnit("l", "large", "a", False, 16.0, 200.0)])
+    assert plan.scale_out == []
+    assert plan.scale_in == ["s0", "s1", "s2"]
