--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -5,12 +5,16 @@
 import itertools
 import logging
 
+import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from fallpulley.cloud.messages import MachineType
 from fallpulley.cloud.offer import Offer
 from fallpulley.fleet.sizing import (
     DemandGroup,
+    DemandKey,
     PlannedRental,
     SizingPlan,
     SupplyUnit,
@@ -118,3 +122,93 @@
     plan = size_for_large_task([*small, SupplyUnit("l", "large", "a", False, 16.0, 200.0)])
     assert plan.scale_out == []
     assert plan.scale_in == ["s0", "s1", "s2"]
+
+
+ZONES = ["a", "b"]
+# Sizings until nothing more is rented for the same work: a few, since groups share machines.
+MAX_SIZINGS = 5
+AMOUNTS = [0.0, 0.001, 0.5, 1.0, 3.9, 8.0, 12.0, 16.0]
+
+
+@st.composite
+def demand_groups(draw: st.DrawFn) -> list[DemandGroup]:
+    keys = draw(
+        st.lists(
+            st.builds(
+                DemandKey,
+                st.booleans(),
+                st.sampled_from([None, ("large",), ("large", "small")]),
+                st.sampled_from([None, *ZONES]),
+                st.booleans(),
+            ),
+            max_size=5,
+            unique=True,
+        )
+    )
+    groups = []
+    for key in keys:
+        group = DemandGroup.from_key(key, draw(st.sampled_from([0.0, 0.01, 30.0, 900.0])))
+        group.task_count = draw(st.integers(0, 3))
+        if group.task_count:
+            group.largest_task_cpus = draw(st.sampled_from(AMOUNTS))
+        groups.append(group)
+    return groups
+
+
+def planned_supply(plan: SizingPlan, sizing: int = 0) -> list[SupplyUnit]:
+    types = TWO_ZONE_TYPES
+    return [
+        SupplyUnit(
+            f"n{sizing}.{number}.{index}",
+            *rental.offer,
+            types[rental.offer.machine_type].cpus,
+            None,
+        )
+        for number, rental in enumerate(plan.scale_out)
+        for index in range(rental.count)
+    ]
+
+
+TWO_ZONE_TYPES = {
+    machine_type.name: msgspec.structs.replace(machine_type, zones=ZONES)
+    for machine_type in (SMALL_TYPE, LARGE_TYPE)
+}
+SUPPLY_SHAPES = st.tuples(
+    st.sampled_from(["small", "large"]), st.sampled_from(ZONES), st.booleans()
+)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(demand_groups(), st.lists(SUPPLY_SHAPES, max_size=4), st.booleans())
+def test_any_work_has_a_machine_that_can_take_it_after_one_sizing(
+    groups: list[DemandGroup], shapes: list[tuple[str, str, bool]], spot_refused: bool
+) -> None:
+    # Guards against work without a machine, whatever else is there, and against endless rentals.
+    refused = {Offer(name, zone, True) for name in TWO_ZONE_TYPES for zone in ZONES}
+    supply = [
+        SupplyUnit(f"m{number}", *shape, TWO_ZONE_TYPES[shape[0]].cpus, 0.0)
+        for number, shape in enumerate(shapes)
+    ]
+
+    def size() -> SizingPlan:
+        return size_fleet(
+            groups, supply, TWO_ZONE_TYPES, refused if spot_refused else set(), 1.3, 0.5, 100
+        )
+
+    plan = size()
+    supply += planned_supply(plan)
+    for group in groups:
+        holds_largest_task = [
+            machine
+            for machine in supply
+            if group.may_use(machine.machine_type, machine.zone, machine.spot)
+            and machine.cpus >= group.largest_task_cpus
+        ]
+        assert holds_largest_task or not group.task_count
+    assert plan.unmet == []
+    for sizing in range(1, MAX_SIZINGS):
+        plan = size()
+        if not plan.scale_out:
+            break
+        supply += planned_supply(plan, sizing)
+    assert not plan.scale_out
