--- a/fallpulley/fleet/autoscaler.py
+++ b/fallpulley/fleet/autoscaler.py
@@ -5,6 +5,7 @@
 import logging
 
 from fallpulley.cloud.messages import DEFAULT_BOOT_SECONDS, MachineType
+from fallpulley.cloud.offer import Offer
 from fallpulley.controller_context import ControllerContext
 from fallpulley.fleet.abandonment import AbandonReason, MachineAbandoner
 from fallpulley.fleet.demand import demand_groups
@@ -155,8 +156,9 @@
 
     def _plan_size(self, shard: Shard, leading: bool, elapsed_s: float) -> SizingPlan:
         machine_types = self.provider.machine_types or self.registry.machine_types
+        refused = self.provider.refused_offers()
         operators = self.context.settings.operators
-        supply = self._measure_supply(shard, leading, machine_types)
+        supply = self._measure_supply(shard, leading, machine_types, refused)
         boot_s = _shortest_boot_s(machine_types)
         drain_s = operators.drain_boots * boot_s
         groups = demand_groups(shard, machine_types, self.context.now, drain_s)
@@ -165,25 +167,33 @@
             groups,
             supply,
             machine_types,
-            self.provider.refused_offers(),
+            refused,
             operators.drain_boots,
             operators.idle_boots,
             (operators.machines_max or DEFAULT_MAX_MACHINES) - len(supply),
         )
 
     def _measure_supply(
-        self, shard: Shard, leading: bool, machine_types: dict[str, MachineType]
+        self,
+        shard: Shard,
+        leading: bool,
+        machine_types: dict[str, MachineType],
+        refused: set[Offer],
     ) -> list[SupplyUnit]:
         """Return the machines that the shard has, has requested, or is being given."""
         adding = self.writer.machines_being_added(shard.shard_id)
         return (
             machine_supply(shard, machine_types, self.context.now)
-            + self._measure_requested_supply(shard, leading, machine_types)
+            + self._measure_requested_supply(shard, leading, machine_types, refused)
             + added_supply(shard, adding, machine_types)
         )
 
     def _measure_requested_supply(
-        self, shard: Shard, leading: bool, machine_types: dict[str, MachineType]
+        self,
+        shard: Shard,
+        leading: bool,
+        machine_types: dict[str, MachineType],
+        refused: set[Offer],
     ) -> list[SupplyUnit]:
         """Return the machines requested from the cloud, or from the leader, that may still come.
 
@@ -193,7 +203,6 @@
         if leading:
             rentals = self.provider.pending_rentals(shard.shard_id)
             return rented_supply(rentals, machine_types)
-        refused = self.provider.refused_offers()
         counts = self._sent_requests.open_counts(shard, refused, self.context.now)
         return requested_supply(counts, machine_types)
 
--- a/fallpulley/fleet/demand.py
+++ b/fallpulley/fleet/demand.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from fallpulley.cloud.messages import MachineType
-from fallpulley.fleet.sizing import DemandGroup, DemandKey
+from fallpulley.fleet.demand_group import DemandGroup, DemandKey
 from fallpulley.jobs.messages import JobKind
 from fallpulley.jobs.open_job import OpenJob
 from fallpulley.placement.estimate import estimate_remaining_run_time
--- a/fallpulley/fleet/smoothing.py
+++ b/fallpulley/fleet/smoothing.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from fallpulley.fleet.sizing import DemandGroup, DemandKey
+from fallpulley.fleet.demand_group import DemandGroup, DemandKey
 
 # Time constant of the moving average, in boot times.
 SMOOTHING_BOOT_TIMES = 1.0
--- a/fallpulley/fleet/unmet_demand.py
+++ b/fallpulley/fleet/unmet_demand.py
@@ -4,7 +4,8 @@
 
 import logging
 
-from fallpulley.fleet.sizing import DemandKey, UnmetDemand
+from fallpulley.fleet.demand_group import DemandKey
+from fallpulley.fleet.sizing import UnmetDemand
 
 log = logging.getLogger(__name__)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,9 +11,9 @@
 from fallpulley.controller_context import ControllerContext
 from fallpulley.effects import HttpCall, Response
 from fallpulley.fleet.cloud import CloudClient
+from fallpulley.fleet.demand_group import DemandGroup
 from fallpulley.fleet.machine_list import MachineListReader
 from fallpulley.fleet.refusals import RefusedOffers
-from fallpulley.fleet.sizing import DemandGroup
 from fallpulley.fleet.smoothing import DemandSmoother
 from tests.simulated_cluster import controller_settings
 
--- a/tests/test_settings_and_limits.py
+++ b/tests/test_settings_and_limits.py
@@ -12,7 +12,8 @@
 from fallpulley.cloud.messages import MachineType
 from fallpulley.cloud.offer import Offer
 from fallpulley.effects import HttpCall, Response
-from fallpulley.fleet.sizing import DemandGroup, SupplyUnit, size_fleet
+from fallpulley.fleet.demand_group import DemandGroup
+from fallpulley.fleet.sizing import SupplyUnit, size_fleet
 from fallpulley.jobs.completion import chunk_capacity
 from fallpulley.jobs.messages import JobRecord, parse_submission
 from fallpulley.jobs.open_job import OpenJob
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -12,9 +12,8 @@
 
 from fallpulley.cloud.messages import MachineType
 from fallpulley.cloud.offer import Offer
+from fallpulley.fleet.demand_group import DemandGroup, DemandKey
 from fallpulley.fleet.sizing import (
-    DemandGroup,
-    DemandKey,
     PlannedRental,
     SizingPlan,
     SupplyUnit,
--- a/tests/test_wire_goldens.py
+++ b/tests/test_wire_goldens.py
@@ -20,7 +20,7 @@
 - `effects`: all; they pass between the core and the network of one process.
 - `controller.wiring`, `controller_access`, `capacity`, `timing`, `heartbeats`, `scheduling`,
   `placement` and `wire`: all.
-- `fleet.sizing`: all.
+- `fleet.demand_group`, `fleet.sizing`: all.
 - `jobs`: `job_index.JobEntry`, all in `open_job_state` and `retry_state`,
   `pipelines.DependencyNode`, `Urgency`,
   `PipelineChanges`.
