--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -101,6 +101,22 @@
     assert rented_machines(cluster) == 3
 
 
+@pytest.mark.parametrize(
+    "gang",
+    [
+        {"pieces": 3, "cpus": 5.0},
+        {"pieces": 2, "cpus": 8.0, "one_zone": True},
+        {"pieces": 2, "cpus": 2.0, "apart": True},
+    ],
+    ids=["uneven", "one-zone", "spread"],
+)
+def test_gang_gets_the_machines_that_hold_all_its_tasks(gang: dict[str, object]) -> None:
+    # Guards against a gang that waits for ever beside machines with enough processors in sum.
+    cluster = ready_cluster(0)
+    uid = submit_job(cluster, 1, **{"shape": "ensemble", "mem_gb": 1.0} | gang)
+    cluster.run_until(lambda: cluster.job_state(uid) == "done", 100.0)
+
+
 SMALL_TYPE = MachineType("small", 8.0, 0.0, 32.0, 1.0, 0.3, 40.0, ["a"])
 LARGE_TYPE = MachineType("large", 16.0, 0.0, 64.0, 1.0, 0.9, 40.0, ["a"])
 
