--- a/fallpulley/fleet/sizing.py
+++ b/fallpulley/fleet/sizing.py
@@ -118,7 +118,8 @@
         rentals = self._rentals_for(missing, required, cheapest_offers(available))
         self.scale_out += rentals
         if required > 0 and not rentals:
-            self.unmet.append(UnmetDemand(group, max(missing, required), not available))
+            all_refused = bool(offers) and not available
+            self.unmet.append(UnmetDemand(group, max(missing, required), all_refused))
 
     def machines_to_release(self, idle_boots: float) -> list[str]:
         """Return the machines to release: idle for long enough and not needed by any group.
@@ -141,16 +142,25 @@
         """
         if group.task_count == 0:
             return 0.0
-        machine_cpus = [machine.cpus for machine in usable]
-        for rental in self.scale_out:
-            if group.may_use(*rental.offer):
-                machine_cpus += [self._market.cpus_of(rental.offer)] * rental.count
-        if not machine_cpus or max(machine_cpus) < group.largest_task_cpus:
+        planned = [rental for rental in self.scale_out if group.may_use(*rental.offer)]
+        if not self._holds_largest_task(group, usable, planned):
             # A task without processors needs a machine as well.
             return max(group.largest_task_cpus, group.largest_gang_cpus, TOLERANCE)
-        missing_for_gang = group.largest_gang_cpus - sum(machine_cpus)
+        if group.largest_gang_cpus <= 0:
+            return 0.0
+        cpus = sum(machine.cpus for machine in usable)
+        cpus += sum(self._market.cpus_of(rental.offer) * rental.count for rental in planned)
+        missing_for_gang = group.largest_gang_cpus - cpus
         return missing_for_gang if missing_for_gang > TOLERANCE else 0.0
 
+    def _holds_largest_task(
+        self, group: DemandGroup, usable: list[SupplyUnit], planned: list[PlannedRental]
+    ) -> bool:
+        """Return whether one of the machines, empty, can take any task of the group."""
+        return any(machine.cpus >= group.largest_task_cpus for machine in usable) or any(
+            self._market.cpus_of(rental.offer) >= group.largest_task_cpus for rental in planned
+        )
+
     def _allocate(self, wanted: float, usable: list[SupplyUnit]) -> float:
         """Allocate free processors of the usable machines to a group.
 
