--- a/fallpulley/fleet/refusals.py
+++ b/fallpulley/fleet/refusals.py
@@ -23,6 +23,7 @@
 
     @property
     def until(self) -> float:
+        """When the offer may be requested again, in seconds of the monotonic clock."""
         return self.refused_at + self.wait_s
 
 
--- a/fallpulley/fleet/rentals.py
+++ b/fallpulley/fleet/rentals.py
@@ -103,14 +103,13 @@
         """Back off from the offers that the cloud refuses to the leader."""
         known = self.refused_offers()
         remaining_s: dict[Offer, float] = {}
-        for machine_type, zone, spot, backoff_s in refusals:
-            offer = Offer(machine_type, zone, spot)
-            remaining_s[offer] = backoff_s
-            if offer not in known:
+        for refusal in refusals:
+            remaining_s[refusal.offer] = refusal.backoff_s
+            if refusal.offer not in known:
                 log.info(
                     "rental refusal announced by leader type=%s zone=%s spot=%s seconds=%.0f",
-                    *offer,
-                    backoff_s,
+                    *refusal.offer,
+                    refusal.backoff_s,
                 )
         self._refused_offers.on_announced(remaining_s, self.context.now)
 
--- a/fallpulley/mesh/messages.py
+++ b/fallpulley/mesh/messages.py
@@ -68,6 +68,11 @@
     spot: bool
     backoff_s: float  # seconds from the sending of the message until they are requested again
 
+    @property
+    def offer(self) -> Offer:
+        """The offer that is refused."""
+        return Offer(self.machine_type, self.zone, self.spot)
+
 
 class RentalRefusals(msgspec.Struct, tag="refused", array_like=True):
     """The offers that the cloud refuses, sent by the leader to the owners of shards.
--- a/fallpulley/placement/profile.py
+++ b/fallpulley/placement/profile.py
@@ -42,12 +42,13 @@
             cpus += task_cpus
             gpus += task_gpus
             memory_gb += task_memory_gb
+            step_at = ends_at
             if ends_at <= self.times[-1]:
                 if len(self.times) > 1:
                     self.cpus[-1], self.gpus[-1], self.memory_gb[-1] = cpus, gpus, memory_gb
                     continue
-                ends_at = now + OVERDUE_TASK_SECONDS
-            self.times.append(ends_at)
+                step_at = now + OVERDUE_TASK_SECONDS
+            self.times.append(step_at)
             self.cpus.append(cpus)
             self.gpus.append(gpus)
             self.memory_gb.append(memory_gb)
--- a/fallpulley/shard_sizes.py
+++ b/fallpulley/shard_sizes.py
@@ -65,9 +65,9 @@
     max_size = max(machines_per_shard, math.ceil(machines / len(estimated_work)))
     shares = _proportional_shares(estimated_work, machines)
     sizes = {shard_id: min(max_size, int(share)) for shard_id, share in shares.items()}
-    for shard_id in sizes:
-        if estimated_work[shard_id] > 0 and sizes[shard_id] == 0:
-            sizes[shard_id] = 1
+    for shard_id, work in estimated_work.items():
+        if work > 0:
+            sizes[shard_id] = max(1, sizes[shard_id])
     _distribute_remainder(sizes, shares, machines, max_size)
     return sizes
 
--- a/fallpulley/shards/shard.py
+++ b/fallpulley/shards/shard.py
@@ -56,7 +56,7 @@
         record: ShardRecord,
         mod_revision: int,
         never_owned: bool,
-    ):
+    ) -> None:
         """Create the state of a shard that was just acquired.
 
         Args:
--- a/fallpulley/standby/snapshot.py
+++ b/fallpulley/standby/snapshot.py
@@ -31,10 +31,14 @@
         if job.run_times.observed_tasks
     ]
     parts = [Snapshot({}, {}, dict(shard.corrections.factors()))]
-    for begin in range(0, len(machines), MAX_PART_ITEMS):
-        parts.append(Snapshot(dict(machines[begin : begin + MAX_PART_ITEMS])))
-    for begin in range(0, len(jobs), MAX_PART_ITEMS):
-        parts.append(Snapshot({}, dict(jobs[begin : begin + MAX_PART_ITEMS])))
+    parts += [
+        Snapshot(dict(machines[begin : begin + MAX_PART_ITEMS]))
+        for begin in range(0, len(machines), MAX_PART_ITEMS)
+    ]
+    parts += [
+        Snapshot({}, dict(jobs[begin : begin + MAX_PART_ITEMS]))
+        for begin in range(0, len(jobs), MAX_PART_ITEMS)
+    ]
     return parts
 
 
