--- a/fallpulley/fleet/autoscaler.py
+++ b/fallpulley/fleet/autoscaler.py
@@ -5,10 +5,10 @@
 import logging
 
 from fallpulley.cloud.messages import DEFAULT_BOOT_SECONDS, MachineType
-from fallpulley.cloud.offer import Offer
 from fallpulley.controller_context import ControllerContext
 from fallpulley.fleet.abandonment import AbandonReason, MachineAbandoner
 from fallpulley.fleet.demand import demand_groups
+from fallpulley.fleet.market import Market
 from fallpulley.fleet.provider import MachineProvider
 from fallpulley.fleet.sent_requests import SentRequests
 from fallpulley.fleet.sizing import PlannedRental, SizingPlan, SupplyUnit, size_fleet
@@ -156,9 +156,9 @@
 
     def _plan_size(self, shard: Shard, leading: bool, elapsed_s: float) -> SizingPlan:
         machine_types = self.provider.machine_types or self.registry.machine_types
-        refused = self.provider.refused_offers()
+        market = Market(machine_types, self.provider.refused_offers())
         operators = self.context.settings.operators
-        supply = self._measure_supply(shard, leading, machine_types, refused)
+        supply = self._measure_supply(shard, leading, market)
         boot_s = _shortest_boot_s(machine_types)
         drain_s = operators.drain_boots * boot_s
         groups = demand_groups(shard, machine_types, self.context.now, drain_s)
@@ -167,33 +167,23 @@
             groups,
             supply,
             machine_types,
-            refused,
+            market.refused_offers,
             operators.drain_boots,
             operators.idle_boots,
             (operators.machines_max or DEFAULT_MAX_MACHINES) - len(supply),
         )
 
-    def _measure_supply(
-        self,
-        shard: Shard,
-        leading: bool,
-        machine_types: dict[str, MachineType],
-        refused: set[Offer],
-    ) -> list[SupplyUnit]:
+    def _measure_supply(self, shard: Shard, leading: bool, market: Market) -> list[SupplyUnit]:
         """Return the machines that the shard has, has requested, or is being given."""
         adding = self.writer.machines_being_added(shard.shard_id)
         return (
-            machine_supply(shard, machine_types, self.context.now)
-            + self._measure_requested_supply(shard, leading, machine_types, refused)
-            + added_supply(shard, adding, machine_types)
+            machine_supply(shard, market.machine_types, self.context.now)
+            + self._measure_requested_supply(shard, leading, market)
+            + added_supply(shard, adding, market.machine_types)
         )
 
     def _measure_requested_supply(
-        self,
-        shard: Shard,
-        leading: bool,
-        machine_types: dict[str, MachineType],
-        refused: set[Offer],
+        self, shard: Shard, leading: bool, market: Market
     ) -> list[SupplyUnit]:
         """Return the machines requested from the cloud, or from the leader, that may still come.
 
@@ -202,9 +192,9 @@
         """
         if leading:
             rentals = self.provider.pending_rentals(shard.shard_id)
-            return rented_supply(rentals, machine_types)
-        counts = self._sent_requests.open_counts(shard, refused, self.context.now)
-        return requested_supply(counts, machine_types)
+            return rented_supply(rentals, market.machine_types)
+        counts = self._sent_requests.open_counts(shard, market.refused_offers, self.context.now)
+        return requested_supply(counts, market.machine_types)
 
 
 def _shortest_boot_s(machine_types: dict[str, MachineType]) -> float:
--- a/fallpulley/fleet/demand.py
+++ b/fallpulley/fleet/demand.py
@@ -34,7 +34,7 @@
         if group is None:
             group = groups[key] = DemandGroup.from_key(key)
         group.work += _remaining_work(shard, job, cpus_per_task, now, drain_s)
-        group.task_count += job.pending_task_count() + len(job.runs)
+        group.task_count += job.unfinished_task_count()
         group.largest_task_cpus = max(group.largest_task_cpus, cpus_per_task)
         if spec.kind is GANG:
             group.largest_gang_cpus = max(group.largest_gang_cpus, spec.task_count * cpus_per_task)
--- a/fallpulley/fleet/demand_group.py
+++ b/fallpulley/fleet/demand_group.py
@@ -26,7 +26,7 @@
     largest_task_cpus: float  # processors of the largest task
     largest_gang_cpus: float = 0.0  # processors of the largest gang, whose tasks start together
     urgent: bool = False  # the work has a high priority
-    task_count: int = 0  # waiting and running tasks; 0: all work has ended
+    task_count: int = 0  # unfinished tasks; 0: all work has ended
 
     @classmethod
     def from_key(cls, key: DemandKey, work: float = 0.0) -> DemandGroup:
--- a/fallpulley/fleet/sizing.py
+++ b/fallpulley/fleet/sizing.py
@@ -52,7 +52,7 @@
 
 
 class UnmetDemand(msgspec.Struct):
-    """A group with tasks that can never start, as no machine is rented for them."""
+    """A group with tasks that cannot start, as they have no machine and none is rented."""
 
     group: DemandGroup
     missing_cpus: float
--- a/fallpulley/jobs/open_job.py
+++ b/fallpulley/jobs/open_job.py
@@ -118,9 +118,13 @@
         """Return whether the task's completion is stored in the state service."""
         return self.progress.durable.contains(index)
 
+    def unfinished_task_count(self) -> int:
+        """Return how many tasks are not completed, whether they are on a machine or not."""
+        return self.spec.task_count - self.progress.completed.count
+
     def pending_task_count(self) -> int:
         """Return how many tasks are neither completed nor on a machine."""
-        return max(0, self.spec.task_count - self.progress.completed.count - len(self.runs))
+        return max(0, self.unfinished_task_count() - len(self.runs))
 
     def next_pending_tasks(self, limit: int) -> list[int]:
         """Return the next tasks to start, at most `limit`: neither completed nor on a machine."""
--- a/fallpulley/scheduling/pending_jobs.py
+++ b/fallpulley/scheduling/pending_jobs.py
@@ -115,7 +115,7 @@
 
 def _update_remaining_time(job: OpenJob, estimate_s: float, shapes: MachineShapes) -> None:
     """Estimate the job's remaining time (T 3-1) again if any input of the estimate changed."""
-    unfinished = job.spec.task_count - job.progress.completed.count
+    unfinished = job.unfinished_task_count()
     inputs = (unfinished, shapes, round(estimate_s, 1))
     if inputs != job.remaining_time.estimate_inputs:
         job.remaining_time.estimate_inputs = inputs
