--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -29,6 +29,7 @@
 HOST = "127.0.0.1"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+MOST_WORKERS = 300  # in one run
 NODES = ("pulleyhand-0", "pulleyhand-1", "pulleyhand-2")
 
 
@@ -37,12 +38,15 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback address that are free now."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind((HOST, 0))
-        return [each.getsockname()[1] for each in sockets]
+    """Return ports of the loopback address that are free, below those of outgoing connections."""
+    found: list[int] = []
+    for port in random.SystemRandom().sample(range(11_000, 31_000), 10_000):
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            found.append(port)
+        if len(found) == count:
+            return found
+    raise CannotRunError("no free ports")
 
 
 # -- HTTP ----------------------------------------------------------------------------------------
@@ -755,7 +759,8 @@
         self.ended = {}  # piece -> cause of a completed attempt
         self._processes = []
         self._tasks = []
-        ports = free_ports(4 * len(NODES))
+        ports = free_ports(4 * len(NODES) + MOST_WORKERS)  # all at once: no two are the same
+        self._worker_ports = ports[4 * len(NODES) :]
         self.nodes = {}
         for at, label in enumerate(NODES):
             zone = site["zones"][at % len(site["zones"])]
@@ -786,7 +791,7 @@
     # -- workers -------------------------------------------------------------------------------
 
     def start_worker(self, name: Any, build: Any, hall: Any, loaners: Any, boot_s: Any) -> None:
-        port = free_ports(1)[0]
+        port = self._worker_ports.pop()
         self.ports[name] = port
         worker = Worker(self, name, build, hall, loaners, port)
         self.workers[name] = worker
