--- a/review/6/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/app/run.py ] || { echo "not built: target/app is missing" >&2; exit 2; }
 export PYTHONPYCACHEPREFIX="$PWD/target/review-2"
-exec python3 review/lab_2.py review/6/case.py
+exec python3 review/lab_2.py review/8/case.py
