--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -316,6 +316,7 @@
         self.rented = {}  # name -> dict
         self.gone = {}  # name -> (dict, gone_at)
         self.hires = {}  # name of the request -> (node, body, hosts)
+        self.asked = []  # every rental request: (time, node, body)
         self.reused = []  # requests whose name was used before for another
         self.next_number = 1
         self.boot_s = lambda build: 2.0
@@ -342,6 +343,7 @@
 
     def _rent(self, node: Any, body: Any) -> Any:
         name = body["hire"]
+        self.asked.append((time.monotonic(), node, body))
         known = self.hires.get(name)
         if known is not None:
             if (known[0], known[1]) != (node, body):
@@ -449,6 +451,7 @@
         self.token_change_at = -1e9
         self.unreachable = set()  # nodes that this worker cannot reach
         self.server = HttpServer(port, self._on_direct)
+        self.faulty = False  # every task on it fails
         self.hang = False  # the machine hangs: it neither reports nor answers nor runs its tasks
 
     async def start(self, boot_s: Any) -> None:
@@ -515,7 +518,7 @@
                 if task.stage == "saving":
                     task.cause, task.saved = "stopped", True
                 else:
-                    task.cause = "done"
+                    task.cause = "error" if self.faulty else "done"
                 task.stage = "ended"
                 self.lab.on_end(self, task)
                 self.changed.set()
@@ -797,6 +800,11 @@
         self.workers[name] = worker
         self.worker_tasks[name] = asyncio.create_task(worker.start(boot_s))
 
+    async def take_back(self, name: Any) -> None:
+        """Let the cloud take back a machine without notice; the list shows it for 30 s more."""
+        self.cloud.gone[name] = (self.cloud.rented.pop(name), time.monotonic() + 30.0)
+        self.note("machine taken back", host=name, tasks=await self.end_worker(name))
+
     def worker_address(self, name: Any) -> Any:
         return f"{HOST}:{self.ports[name]}"
 
@@ -1085,6 +1093,70 @@
 }
 
 
+def _build(label: str, cpus: float, mem_gb: float, hourly: float, spot: float, **more: Any) -> Any:
+    return {
+        "label": label,
+        "cpus": cpus,
+        "cards": 0.0,
+        "mem_gb": mem_gb,
+        "hourly": hourly,
+        "spot_price": spot,
+        **more,
+    }
+
+
+RAJKOT = {
+    **RAJKOT_FLEET,
+    "report_s": 1.5,
+    "lease_s": 10.0,
+    "cancel_s": 40.0,
+    "rps": 70.0,
+    "write_rps": 25.0,
+    "cloud_rps": 4.0,
+    "core_share": 0.54,
+    "memory_mb": 186.0,
+    "sockets": 1200,
+    "builds": {
+        each["label"]: each
+        for each in (
+            _build(
+                "chhota",
+                8.0,
+                32.0,
+                0.35,
+                0.11,
+                cache_gb=40.0,
+                fetch_gb_per_s=0.8,
+                startup_s=30.0,
+                halls=["ahmedabad-east"],
+            ),
+            _build(
+                "madhyam",
+                16.0,
+                64.0,
+                0.73,
+                0.2,
+                cache_gb=25.0,
+                fetch_gb_per_s=0.25,
+                startup_s=30.0,
+                halls=["ahmedabad-east"],
+            ),
+            _build(
+                "bhari",
+                32.0,
+                256.0,
+                1.68,
+                0.45,
+                cache_gb=80.0,
+                fetch_gb_per_s=0.2,
+                startup_s=50.0,
+                halls=["vadodara-dc"],
+            ),
+        )
+    },
+}
+
+
 async def _main(path: Any) -> Any:
     spec = importlib.util.spec_from_file_location("case", path)
     case = importlib.util.module_from_spec(spec)
@@ -1092,7 +1164,7 @@
     record = os.environ.get("RECORD") or pathlib.Path(path).parent / "record.txt"
     lab = Lab(case.site(sys.modules["__main__"]), record, getattr(case, "OPERATORS", ""))
     try:
-        async with asyncio.timeout(115):
+        async with asyncio.timeout(float(os.environ.get("LIMIT_S", "115"))):
             await lab.start()
             await case.run(sys.modules["__main__"], lab)
         code = BROKEN if lab.violations else HELD
