--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -1163,12 +1163,13 @@
     spec.loader.exec_module(case)
     record = os.environ.get("RECORD") or pathlib.Path(path).parent / "record.txt"
     lab = Lab(case.site(sys.modules["__main__"]), record, getattr(case, "OPERATORS", ""))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     try:
         async with asyncio.timeout(float(os.environ.get("LIMIT_S", "115"))):
             await lab.start()
             await case.run(sys.modules["__main__"], lab)
         code = BROKEN if lab.violations else HELD
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         lab.note("could not run", reason=repr(error))
         code = BROKEN if lab.violations else COULD_NOT_RUN
     finally:
