Let sizing, admission and placement decide alike which machines can take a task

With no machine up, one that is too small was rented and kept.

Cause: "this machine can take this task" was decided in five places. Placement compared every amount. Sizing knew a task by its processors, or by its share of the memory turned into processors of the type on which it costs least, and compared those with the processors of a machine: 16 processors and 64 GB were supply for 100 GB (12.5 of 32 processors). Nothing in that decision grows while the job waits.

Fix: `EligibleMachines` in placement/eligibility.py is the one definition: spot, types that are allowed and large enough in every amount, zone. Admission, the choice of a shard, sizing and placement use it, and sizing groups work by it, so that any machine of a group's supply or offers can take any of its tasks. The comparisons of processors are gone. A single task was allowed to exceed an empty machine by 1e-6 in placement, not at admission; now it is not in either, as a worker refuses it.

The randomized test of sizing draws memory and GPUs too, and compares amounts one by one instead of asking the code under test.

--- a/fallpulley/fleet/autoscaler.py
+++ b/fallpulley/fleet/autoscaler.py
@@ -161,7 +161,9 @@
         supply = self._measure_supply(shard, leading, market)
         boot_s = _shortest_boot_s(machine_types)
         drain_s = operators.drain_boots * boot_s
-        groups = demand_groups(shard, machine_types, self.context.now, drain_s)
+        groups = demand_groups(
+            shard, self.registry.machine_types, machine_types, self.context.now, drain_s
+        )
         groups = self._smoother.smooth(shard.shard_id, groups, elapsed_s, boot_s)
         return size_fleet(
             groups,
--- a/fallpulley/fleet/demand.py
+++ b/fallpulley/fleet/demand.py
@@ -6,6 +6,7 @@
 from fallpulley.fleet.demand_group import DemandGroup, DemandKey
 from fallpulley.jobs.messages import JobKind
 from fallpulley.jobs.open_job import OpenJob
+from fallpulley.placement.eligibility import EligibleMachines
 from fallpulley.placement.estimate import estimate_remaining_run_time
 from fallpulley.placement.queue import URGENT_PRIORITY_LEVEL
 from fallpulley.shards.shard import Shard
@@ -16,20 +17,30 @@
 
 
 def demand_groups(
-    shard: Shard, machine_types: dict[str, MachineType], now: float, drain_s: float
+    shard: Shard,
+    catalog: dict[str, MachineType],
+    priced_types: dict[str, MachineType],
+    now: float,
+    drain_s: float,
 ) -> list[DemandGroup]:
-    """Group the shard's queued and running work by the machines that it may use.
+    """Group the shard's queued and running work by the machines that can take its tasks.
 
-    `drain_s` is the time in seconds in which all work should be completed. A task of a service,
-    which has no end, counts with at most this run time.
+    Args:
+        shard: The shard.
+        catalog: The machine types that plans of the shard use, by name.
+        priced_types: The machine types with the prices to compare, by name.
+        now: The current time, in seconds of the monotonic clock.
+        drain_s: The time in seconds in which all work should be completed. A task of a service,
+            which has no end, counts with at most this run time.
     """
     groups: dict[DemandKey, DemandGroup] = {}
     for job in shard.jobs.values():
         if job.ended or job.all_tasks_completed or job.waits_for_dependencies:
             continue  # machines rented for jobs that cannot start yet would be idle
         spec = job.spec
-        cpus_per_task = _cached_cpus_per_task(job, machine_types)
-        key = _demand_key(job)
+        eligible = job.eligible_machines(catalog)
+        cpus_per_task = _cached_cpus_per_task(job, eligible, priced_types)
+        key = DemandKey(eligible, job.priority_level >= URGENT_PRIORITY_LEVEL)
         group = groups.get(key)
         if group is None:
             group = groups[key] = DemandGroup.from_key(key)
@@ -41,13 +52,6 @@
     return list(groups.values())
 
 
-def _demand_key(job: OpenJob) -> DemandKey:
-    spec = job.spec
-    type_names = tuple(sorted(spec.machine_types)) if spec.machine_types is not None else None
-    urgent = job.priority_level >= URGENT_PRIORITY_LEVEL
-    return DemandKey(spec.allow_spot, type_names, spec.zone, urgent)
-
-
 def _remaining_work(
     shard: Shard, job: OpenJob, cpus_per_task: float, now: float, drain_s: float
 ) -> float:
@@ -64,15 +68,19 @@
     return work
 
 
-def _cached_cpus_per_task(job: OpenJob, machine_types: dict[str, MachineType]) -> float:
+def _cached_cpus_per_task(
+    job: OpenJob, eligible: EligibleMachines, machine_types: dict[str, MachineType]
+) -> float:
     """Return the processors per task, computed once for each job and catalog."""
     if job.processors.machine_types is not machine_types:
         job.processors.machine_types = machine_types
-        job.processors.per_task = _cpus_per_task(job, machine_types)
+        job.processors.per_task = _cpus_per_task(job, eligible, machine_types)
     return job.processors.per_task
 
 
-def _cpus_per_task(job: OpenJob, machine_types: dict[str, MachineType]) -> float:
+def _cpus_per_task(
+    job: OpenJob, eligible: EligibleMachines, machine_types: dict[str, MachineType]
+) -> float:
     """Return how many processors a task takes up on the type on which it costs the least.
 
     This is the task's largest share of any of the machine's resources, times its processors: a task
@@ -80,13 +88,9 @@
     """
     cheapest: tuple[float, float] | None = None  # (price per hour, processors) of a task
     for machine_type in machine_types.values():
-        if job.spec.machine_types is not None and machine_type.name not in job.spec.machine_types:
+        if eligible.machine_types is not None and machine_type.name not in eligible.machine_types:
             continue
         capacity = machine_type.capacity
-        if any(
-            needed > available for needed, available in zip(job.resources, capacity, strict=True)
-        ):
-            continue
         share = max(
             needed / available
             for needed, available in zip(job.resources, capacity, strict=True)
--- a/fallpulley/fleet/demand_group.py
+++ b/fallpulley/fleet/demand_group.py
@@ -1,4 +1,4 @@
-"""Groups of a shard's work: the work of all jobs that may use the same machines."""
+"""Groups of a shard's work: the work of all jobs with the same eligible machines."""
 
 from __future__ import annotations
 
@@ -6,22 +6,23 @@
 
 import msgspec
 
+from fallpulley.placement.eligibility import EligibleMachines
+
 
 class DemandKey(NamedTuple):
-    """The machines that a group's work may use, and whether the work is urgent."""
+    """The machines that can take a group's tasks, and whether the work is urgent."""
 
-    allow_spot: bool
-    machine_types: tuple[str, ...] | None  # sorted names of types; None: all types
-    zone: str | None  # None: all zones
+    eligible: EligibleMachines
     urgent: bool  # the work has a high priority
 
 
 class DemandGroup(msgspec.Struct):
-    """Work of one shard that may use the same machines."""
+    """Work of one shard whose tasks can be taken by the same machines.
+
+    Each of these machines can take any task of the group.
+    """
 
-    allow_spot: bool
-    machine_types: tuple[str, ...] | None
-    zone: str | None
+    eligible: EligibleMachines
     work: float  # in processor-seconds
     largest_task_cpus: float  # processors of the largest task
     largest_gang_cpus: float = 0.0  # processors of the largest gang, whose tasks start together
@@ -31,17 +32,9 @@
     @classmethod
     def from_key(cls, key: DemandKey, work: float = 0.0) -> DemandGroup:
         """Create a group with the given work in processor-seconds and no known tasks."""
-        return cls(key.allow_spot, key.machine_types, key.zone, work, 0.0, urgent=key.urgent)
+        return cls(key.eligible, work, 0.0, urgent=key.urgent)
 
     @property
     def key(self) -> DemandKey:
         """The properties that distinguish this group from the others of its shard."""
-        return DemandKey(self.allow_spot, self.machine_types, self.zone, self.urgent)
-
-    def may_use(self, type_name: str, zone: str, spot: bool) -> bool:
-        """Return whether the group's jobs allow such machines."""
-        return (
-            (self.allow_spot or not spot)
-            and (self.machine_types is None or type_name in self.machine_types)
-            and (self.zone is None or zone == self.zone)
-        )
+        return DemandKey(self.eligible, self.urgent)
--- a/fallpulley/fleet/market.py
+++ b/fallpulley/fleet/market.py
@@ -35,16 +35,16 @@
         return machine_type.boot_s if machine_type is not None else DEFAULT_BOOT_SECONDS
 
     def shortest_boot_s(self, group: DemandGroup) -> float | None:
-        """Return the shortest boot time of the types that fit the group, in seconds, or None.
+        """Return the shortest boot time of the types that suit the group, in seconds, or None.
 
-        None means that no allowed type has enough processors for the group's largest task.
+        None means that no type of the catalog can take the group's tasks.
         """
+        names = group.eligible.machine_types
         return min(
             (
                 machine_type.boot_s
                 for machine_type in self.machine_types.values()
-                if machine_type.cpus >= group.largest_task_cpus
-                and (group.machine_types is None or machine_type.name in group.machine_types)
+                if names is None or machine_type.name in names
             ),
             default=None,
         )
@@ -54,11 +54,11 @@
         found = []
         for machine_type in self.machine_types.values():
             cpus = machine_type.cpus
-            if cpus < group.largest_task_cpus or cpus <= 0:
-                continue
+            if cpus <= 0:
+                continue  # it has no price per processor
             for zone in machine_type.zones:
                 for spot in (True, False):
-                    if group.may_use(machine_type.name, zone, spot):
+                    if group.eligible.include(machine_type.name, zone, spot):
                         price = (
                             machine_type.spot_price_per_hour
                             if spot
--- a/fallpulley/fleet/sizing.py
+++ b/fallpulley/fleet/sizing.py
@@ -2,7 +2,7 @@
 
 Pure arithmetic. There should be enough machines to complete all queued and running work within a
 given share of a boot time: work that lasts longer would finish earlier on a machine rented now.
-Groups of jobs that may use the same machines are served from the most to the least restricted.
+Groups of jobs with the same eligible machines are served from the most to the least restricted.
 
 What a group wants, to be completed in time, is rounded to machines that are worth their price. What
 it requires, for each of its tasks to start at all, is never rounded down.
@@ -88,9 +88,10 @@
     return SizingPlan(sizing.scale_out, sizing.machines_to_release(idle_boots), sizing.unmet)
 
 
-def _restriction_key(group: DemandGroup) -> tuple[bool, bool, bool]:
+def _restriction_key(group: DemandGroup) -> tuple[bool, float, bool]:
     """Return a sort key that puts groups with the most restrictions first."""
-    return (group.allow_spot, group.machine_types is None, group.zone is None)
+    allow_spot, machine_types, zone = group.eligible
+    return (allow_spot, math.inf if machine_types is None else len(machine_types), zone is None)
 
 
 class _Sizing:
@@ -108,7 +109,7 @@
         """Allocate supply to the group, and plan rentals of what it lacks."""
         boot_s = self._market.shortest_boot_s(group)
         if boot_s is None:
-            return  # no machine type fits the group
+            return  # no machine type can take the group's tasks
         offers = self._market.offers_for(group)
         available = self._market.available(offers)
         wanted = _wanted_cpus(group, drain_boots * boot_s, self._market.is_scarce(offers))
@@ -142,8 +143,8 @@
         """
         if group.task_count == 0:
             return 0.0
-        planned = [rental for rental in self.scale_out if group.may_use(*rental.offer)]
-        if not self._holds_largest_task(group, usable, planned):
+        planned = [rental for rental in self.scale_out if group.eligible.include(*rental.offer)]
+        if not usable and not planned:
             # A task without processors needs a machine as well.
             return max(group.largest_task_cpus, group.largest_gang_cpus, TOLERANCE)
         if group.largest_gang_cpus <= 0:
@@ -153,14 +154,6 @@
         missing_for_gang = group.largest_gang_cpus - cpus
         return missing_for_gang if missing_for_gang > TOLERANCE else 0.0
 
-    def _holds_largest_task(
-        self, group: DemandGroup, usable: list[SupplyUnit], planned: list[PlannedRental]
-    ) -> bool:
-        """Return whether one of the machines, empty, can take any task of the group."""
-        return any(machine.cpus >= group.largest_task_cpus for machine in usable) or any(
-            self._market.cpus_of(rental.offer) >= group.largest_task_cpus for rental in planned
-        )
-
     def _allocate(self, wanted: float, usable: list[SupplyUnit]) -> float:
         """Allocate free processors of the usable machines to a group.
 
@@ -211,19 +204,16 @@
 
 
 def _usable_machines(group: DemandGroup, supply: list[SupplyUnit]) -> list[SupplyUnit]:
-    """Return the machines that the group's jobs allow, in the order in which it gets them."""
-    # Machines that can take any task of the group come first, so that they are not released while
-    # smaller ones are kept. Then spot machines, as some groups may not use them. Then machines that
-    # are in use, then the most recently idle: this way machines idle for long stay idle and can be
-    # released.
+    """Return the machines that can take the group's tasks, in the order in which it gets them."""
+    # Spot machines come first, as some groups may not use them. Then machines that are in use, then
+    # the most recently idle: this way machines idle for long stay idle and can be released.
     usable = [
         machine
         for machine in supply
-        if group.may_use(machine.machine_type, machine.zone, machine.spot)
+        if group.eligible.include(machine.machine_type, machine.zone, machine.spot)
     ]
     usable.sort(
         key=lambda machine: (
-            machine.cpus < group.largest_task_cpus,
             not machine.spot,
             machine.idle_s is not None,
             machine.idle_s or 0.0,
--- a/fallpulley/fleet/unmet_demand.py
+++ b/fallpulley/fleet/unmet_demand.py
@@ -36,14 +36,14 @@
 
 
 def _log_demand(shard_id: str, demand: UnmetDemand) -> None:
-    group = demand.group
+    group, eligible = demand.group, demand.group.eligible
     log.info(
         "no machine for work and none rented shard=%s types=%s zone=%s spot=%s tasks=%d"
         " missing_cpus=%.2f all_refused=%s",
         shard_id,
-        ",".join(group.machine_types) if group.machine_types is not None else "any",
-        group.zone or "any",
-        group.allow_spot,
+        ",".join(eligible.machine_types) if eligible.machine_types is not None else "any",
+        eligible.zone or "any",
+        eligible.allow_spot,
         group.task_count,
         demand.missing_cpus,
         demand.all_refused,
--- a/fallpulley/jobs/messages.py
+++ b/fallpulley/jobs/messages.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Collection
 from enum import StrEnum
 from typing import Annotated, Final, NamedTuple
 
 import msgspec
 from msgspec import Meta
 
+from fallpulley.cloud.messages import MachineType
+from fallpulley.placement.eligibility import EligibleMachines, eligible_machines
+from fallpulley.resources import Resources
+
 # An amount of a resource (processors, GPUs, GB) or a duration in seconds.
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
 # The name of a team, an image, a machine type and the like.
@@ -112,6 +117,17 @@
     # Ids of the jobs that must be done before any task of this job starts.
     depends_on: list[JobId] | None = None
 
+    @property
+    def resources(self) -> Resources:
+        """What each task takes of its machine."""
+        return Resources(self.cpus, self.gpus, self.memory_gb)
+
+    def eligible_machines(self, catalog: Collection[MachineType]) -> EligibleMachines:
+        """Return the machines that can take the job's tasks, given the cloud's machine types."""
+        return eligible_machines(
+            self.resources, self.allow_spot, self.machine_types, self.zone, catalog
+        )
+
 
 class JobRecord(
     msgspec.Struct,
--- a/fallpulley/jobs/open_job.py
+++ b/fallpulley/jobs/open_job.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from fallpulley.cloud.messages import MachineType
 from fallpulley.jobs.completion import JobProgress
 from fallpulley.jobs.messages import PRIORITY_LEVELS, JobKind, JobRecord, Submission
 from fallpulley.jobs.open_job_state import (
+    Eligibility,
     GangState,
     ProcessorEstimate,
     RemainingTime,
@@ -13,7 +15,7 @@
 )
 from fallpulley.jobs.pipelines import DependencyNode
 from fallpulley.jobs.retry_state import RetryState
-from fallpulley.resources import Resources
+from fallpulley.placement.eligibility import EligibleMachines
 from fallpulley.workers.machine import TaskRun
 
 # A constant, since enum members are looked up slowly.
@@ -45,7 +47,7 @@
         self.spec = spec
         self.mod_revision = mod_revision
         self.dependency_node = dependency_node
-        self.resources = Resources(spec.cpus, spec.gpus, spec.memory_gb)
+        self.resources = spec.resources
         self.runs: dict[int, TaskRun] = {}  # task index -> the task's attempt on a machine
         self.ended = False  # whether the job has ended, so that no task may start or go on
         self.final_write_pending = False  # whether the record of the done job is being written
@@ -56,6 +58,7 @@
         self.retry = RetryState()
         self.remaining_time = RemainingTime()
         self.processors = ProcessorEstimate(spec.cpus)
+        self._eligibility = Eligibility()
 
     # -- dependencies ----------------------------------------------------------------------
 
@@ -103,6 +106,19 @@
         if self.dependency_node is not None:
             self.remaining_time.update_deadline_risk(self.dependency_node, wall_time)
 
+    # -- machines --------------------------------------------------------------------------
+
+    def eligible_machines(self, machine_types: dict[str, MachineType]) -> EligibleMachines:
+        """Return the machines that can take the job's tasks.
+
+        They are computed again only if `machine_types`, the catalog by name, is another object.
+        """
+        cached = self._eligibility
+        if cached.machine_types is not machine_types:
+            cached.machine_types = machine_types
+            cached.machines = self.spec.eligible_machines(machine_types.values())
+        return cached.machines
+
     # -- tasks -----------------------------------------------------------------------------
 
     @property
--- a/fallpulley/jobs/open_job_state.py
+++ b/fallpulley/jobs/open_job_state.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from fallpulley.jobs.pipelines import DependencyNode
+from fallpulley.placement.eligibility import ANY_MACHINE, EligibleMachines
 
 # A pipeline's deadline is at risk once the time left is less than this many times the estimated
 # time for the rest of the job and the longest path after it.
@@ -103,6 +104,14 @@
         )
 
 
+class Eligibility(msgspec.Struct):
+    """The machines that can take a job's tasks."""
+
+    machines: EligibleMachines = ANY_MACHINE
+    # The catalog that `machines` was computed with, None if it was not computed yet.
+    machine_types: object = None
+
+
 class ProcessorEstimate(msgspec.Struct):
     """How many processors of the cheapest suitable machine type one task occupies."""
 
--- a/fallpulley/jobs/shard_chooser.py
+++ b/fallpulley/jobs/shard_chooser.py
@@ -55,12 +55,11 @@
         A shard without such processors sorts last: otherwise a shard that has only spot machines
         is given urgent jobs that may not run on spot machines.
         """
+        eligible = spec.eligible_machines(self.registry.machine_types.values())
         usable_processors = sum(
             cpus
-            for (type_name, zone, spot), cpus in self.registry.processors_by_shape(shard_id).items()
-            if (spec.allow_spot or not spot)
-            and (spec.machine_types is None or type_name in spec.machine_types)
-            and (spec.zone is None or zone == spec.zone)
+            for shape, cpus in self.registry.processors_by_shape(shard_id).items()
+            if eligible.include(*shape)
         )
         return (
             usable_processors == 0,
--- a/fallpulley/jobs/validation.py
+++ b/fallpulley/jobs/validation.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 from fallpulley.cloud.messages import MachineType
 from fallpulley.jobs.messages import JobKind, Submission
@@ -10,7 +10,7 @@
 
 
 def rejection_reason(
-    spec: Submission, team: Team | None, machine_types: Iterable[MachineType]
+    spec: Submission, team: Team | None, machine_types: Collection[MachineType]
 ) -> str | None:
     """Return why a job can never run, as a text for its user; None if it can run.
 
@@ -18,21 +18,20 @@
     """
     if team is None:
         return "unknown team"
-    if not any(_can_run_on(spec, machine_type) for machine_type in machine_types):
+    if not _can_run_on_any(spec, machine_types):
         return "a task fits no allowed machine type"
     if _exceeds_team_limit(spec, team):
         return "the job needs more than the team's limit"
     return None
 
 
-def _can_run_on(spec: Submission, machine_type: MachineType) -> bool:
-    """Return whether the job allows this machine type and a machine of it can hold a task."""
-    return (
-        (spec.machine_types is None or machine_type.name in spec.machine_types)
-        and (spec.zone is None or spec.zone in machine_type.zones)
-        and spec.cpus <= machine_type.cpus
-        and spec.gpus <= machine_type.gpus
-        and spec.memory_gb <= machine_type.memory_gb
+def _can_run_on_any(spec: Submission, machine_types: Collection[MachineType]) -> bool:
+    """Return whether a machine that can take a task of the job is offered in some zone."""
+    eligible = spec.eligible_machines(machine_types)
+    return any(
+        eligible.include(machine_type.name, zone, spot=False)
+        for machine_type in machine_types
+        for zone in machine_type.zones
     )
 
 
--- a/fallpulley/placement/machine_pool.py
+++ b/fallpulley/placement/machine_pool.py
@@ -95,7 +95,7 @@
         if start is None:
             return None
         # Between equal finishes, prefer spot machines: jobs that may not use them need the others.
-        cost = 1.0 if job.allow_spot and not snapshot.spot else 0.0
+        cost = 1.0 if job.eligible.allow_spot and not snapshot.spot else 0.0
         if start > now:
             cost += FUTURE_START_UNITS
         else:
--- a/fallpulley/placement/plan.py
+++ b/fallpulley/placement/plan.py
@@ -111,7 +111,7 @@
         """Collect the candidates on `with_room`, the machines (by index) with room now."""
         self.builder, self.pool, self.plan = builder, builder.pool, builder.plan
         self.job = job
-        self.zone = job.zone
+        self.zone = job.eligible.zone
         self.zone_limits = dict(job.zone_limits) if job.zone_limits is not None else None
         self.finish_unit_s = max(job.estimated_run_s * EQUAL_FINISH_SHARE, MIN_FINISH_UNIT_S)
         self.first_start_index = len(self.plan.starts)
@@ -123,7 +123,7 @@
         heapq.heapify(self.candidates)
         self.examined = set(with_room)
         self.later_machines = (
-            pool.by_next_change(self.examined, job.allow_spot)
+            pool.by_next_change(self.examined, job.eligible.allow_spot)
             if builder.future_bookings_left > 0
             else []
         )
--- a/fallpulley/placement/queue.py
+++ b/fallpulley/placement/queue.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
+from fallpulley.placement.eligibility import EligibleMachines
 from fallpulley.placement.snapshot import MachineSnapshot
-from fallpulley.resources import TOLERANCE, Resources
+from fallpulley.resources import Resources
 
 # Jobs of this priority level and above are urgent: they are placed before the others.
 URGENT_PRIORITY_LEVEL = 2
@@ -26,10 +27,8 @@
     remaining_s: float  # estimated remaining time of the job, in seconds
     overdue: bool  # has waited too long, or its deadline is at risk: placed before other jobs
     submitted_at: float  # seconds since the epoch; of a pipeline's job, when it became ready
-    allow_spot: bool
+    eligible: EligibleMachines
     priority_level: int = 1  # highest of the job and of those that depend on it; higher is urgent
-    machine_types: list[str] | None = None  # None: all types are allowed
-    zone: str | None = None  # None: all zones are allowed
     zone_limits: dict[str, int] | None = None  # how many more tasks each zone may get (spread jobs)
     one_zone: bool = False  # all tasks have to run in the same zone
     avoided_machines: set[str] | None = None  # machines on which the job failed
@@ -64,15 +63,7 @@
 
 
 def is_eligible(job: PendingJob, snapshot: MachineSnapshot) -> bool:
-    """Return whether the job's tasks may run on the machine and would fit if it were empty."""
-    return (
-        (job.allow_spot or not snapshot.spot)
-        and (job.machine_types is None or snapshot.machine_type in job.machine_types)
-        and (job.zone is None or snapshot.zone == job.zone)
-        and (job.avoided_machines is None or snapshot.machine_id not in job.avoided_machines)
-        # `Resources.fits_in` written out to save the call: this runs for most pairs of job and
-        # machine.
-        and job.resources.cpus <= snapshot.capacity.cpus + TOLERANCE
-        and job.resources.gpus <= snapshot.capacity.gpus + TOLERANCE
-        and job.resources.memory_gb <= snapshot.capacity.memory_gb + TOLERANCE
+    """Return whether the machine can take the job's tasks and is not avoided by the job."""
+    return job.eligible.include(snapshot.machine_type, snapshot.zone, snapshot.spot) and (
+        job.avoided_machines is None or snapshot.machine_id not in job.avoided_machines
     )
--- a/fallpulley/resources.py
+++ b/fallpulley/resources.py
@@ -23,6 +23,14 @@
             and self.memory_gb <= free.memory_gb + TOLERANCE
         )
 
+    def is_within(self, capacity: Resources) -> bool:
+        """Whether no amount exceeds that of `capacity`, of which nothing is in use."""
+        return (
+            self.cpus <= capacity.cpus
+            and self.gpus <= capacity.gpus
+            and self.memory_gb <= capacity.memory_gb
+        )
+
     def plus(self, other: Resources) -> Resources:
         """Return the sums of the amounts."""
         return Resources(
--- a/fallpulley/scheduling/pending_jobs.py
+++ b/fallpulley/scheduling/pending_jobs.py
@@ -6,9 +6,11 @@
 
 import msgspec
 
+from fallpulley.cloud.messages import MachineType
 from fallpulley.controller_context import ControllerContext
 from fallpulley.jobs.messages import JobKind
 from fallpulley.jobs.open_job import OpenJob
+from fallpulley.placement.eligibility import EligibleMachines
 from fallpulley.placement.queue import PendingJob, is_eligible, queue_order
 from fallpulley.placement.remaining_time import MachineShapes, count_shapes, remaining_time
 from fallpulley.placement.snapshot import MachineSnapshot
@@ -28,6 +30,7 @@
 def pending_jobs(
     shard: Shard,
     context: ControllerContext,
+    machine_types: dict[str, MachineType],
     teams: dict[str, Team],
     snapshots: list[MachineSnapshot],
 ) -> list[PendingJob]:
@@ -41,7 +44,7 @@
         task_count = job.pending_task_count()
         if not task_count or job.gang.restarting:
             continue
-        entry = _pending_job(shard, context, job, task_count, shapes)
+        entry = _pending_job(shard, context, machine_types, job, task_count, shapes)
         entry.avoided_machines = _avoided_machines(job, entry, snapshots, context.now)
         pending += _split_first_tasks(entry, job, context)
     fleet_cpus = sum(snapshot.capacity.cpus for snapshot in snapshots)
@@ -84,6 +87,7 @@
 def _pending_job(
     shard: Shard,
     context: ControllerContext,
+    machine_types: dict[str, MachineType],
     job: OpenJob,
     task_count: int,
     shapes: MachineShapes,
@@ -103,10 +107,8 @@
         overdue=job.remaining_time.deadline_at_risk
         or waited_past_age_bound(job, context, estimate_s),
         submitted_at=job.ready_since_ms / 1000,
-        allow_spot=spec.allow_spot,
+        eligible=_eligible_machines(shard, job, machine_types),
         priority_level=job.priority_level,
-        machine_types=spec.machine_types,
-        zone=_zone(job, shard),
         zone_limits=_zone_limits(job, shard) if spec.spread else None,
         one_zone=spec.one_zone,
         all_at_once=spec.kind is _GANG and not job.runs,
@@ -124,15 +126,18 @@
         )
 
 
-def _zone(job: OpenJob, shard: Shard) -> str | None:
-    """Return the zone in which the job's tasks must run, None for any.
+def _eligible_machines(
+    shard: Shard, job: OpenJob, machine_types: dict[str, MachineType]
+) -> EligibleMachines:
+    """Return the machines that can take the job's tasks now.
 
     A job that needs one zone for all of its tasks is bound to that of its running ones.
     """
+    eligible = job.eligible_machines(machine_types)
     if job.spec.one_zone and job.runs:
         run = next(iter(job.runs.values()))
-        return shard.machines[run.machine_id].entry.zone
-    return job.spec.zone
+        eligible = eligible._replace(zone=shard.machines[run.machine_id].entry.zone)
+    return eligible
 
 
 def _zone_limits(job: OpenJob, shard: Shard) -> dict[str, int]:
--- a/fallpulley/scheduling/preemption.py
+++ b/fallpulley/scheduling/preemption.py
@@ -6,6 +6,7 @@
 
 from fallpulley.controller_context import ControllerContext
 from fallpulley.jobs.open_job import OpenJob
+from fallpulley.placement.eligibility import EligibleMachines
 from fallpulley.placement.plan import Plan
 from fallpulley.placement.queue import PendingJob, is_eligible
 from fallpulley.placement.snapshot import MachineSnapshot
@@ -41,11 +42,9 @@
 
 
 class _Restrictions(NamedTuple):
-    """The conditions of a job on its machines, apart from the resources of its tasks."""
+    """The machines on which a job's tasks may be placed."""
 
-    allow_spot: bool
-    machine_types: tuple[str, ...] | None
-    zone: str | None
+    eligible: EligibleMachines
     avoided_machines: frozenset[str] | None
 
 
@@ -153,9 +152,7 @@
     least: dict[_Restrictions, list[PendingJob]] = {}
     for job in sorted(jobs, key=lambda job: job.resources):
         restrictions = _Restrictions(
-            job.allow_spot,
-            None if job.machine_types is None else tuple(job.machine_types),
-            job.zone,
+            job.eligible,
             None if job.avoided_machines is None else frozenset(job.avoided_machines),
         )
         group = least.setdefault(restrictions, [])
--- a/fallpulley/scheduling/shard_plan.py
+++ b/fallpulley/scheduling/shard_plan.py
@@ -27,7 +27,7 @@
 ) -> PlacementDecision:
     """Plan the shard's pending jobs on its machines in their present state."""
     snapshots = machine_snapshots(shard, registry.machine_types, context.now)
-    pending = pending_jobs(shard, context, teams, snapshots)
+    pending = pending_jobs(shard, context, registry.machine_types, teams, snapshots)
     plan = make_plan(pending, snapshots, context.now)
     return PlacementDecision(
         _starts_by_machine(shard, plan),
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -215,8 +215,16 @@
 class Worker:
     """A machine and its agent: sends heartbeats, carries out commands and runs tasks."""
 
-    def __init__(self, cluster: SimulatedCluster, host: str, zone: str, spot: bool) -> None:
+    def __init__(
+        self,
+        cluster: SimulatedCluster,
+        host: str,
+        zone: str,
+        spot: bool,
+        machine_type: str = "box",
+    ) -> None:
         self.cluster, self.host, self.zone, self.spot = cluster, host, zone, spot
+        self.machine_type = machine_type
         self.address = cluster.address_of(int(host[3:]))
         self.agent_epoch, self.sequence, self.fencing_token = 1, 0, 0
         self.tasks: dict[str, dict[str, Any]] = {}
@@ -240,7 +248,7 @@
         return {
             "host": self.host,
             "addr": self.address,
-            "build": "box",
+            "build": self.machine_type,
             "hall": self.zone,
             "loaners": self.spot,
             "shift": self.agent_epoch,
@@ -395,6 +403,7 @@
     cancel_s = 30.0
     # Whether machines' addresses follow no pattern, so that they take more space in records.
     irregular_addresses = False
+    machine_types: tuple[dict[str, Any], ...] = (MACHINE_TYPE,)  # of the cloud's catalog
 
     def __init__(
         self,
@@ -480,10 +489,10 @@
         scattered = number * 2654435761 % 2**32  # a multiplicative hash: one-to-one
         return ".".join(str(byte) for byte in scattered.to_bytes(4, "big")) + ":9"
 
-    def add_machine(self, zone: str, spot: bool) -> str:
+    def add_machine(self, zone: str, spot: bool, machine_type: str = "box") -> str:
         self._last_machine_number += 1
         host = f"vm-{self._last_machine_number:06d}"
-        self.workers[host] = worker = Worker(self, host, zone, spot)
+        self.workers[host] = worker = Worker(self, host, zone, spot, machine_type)
         self.workers_by_address[worker.address] = worker
         return host
 
@@ -564,15 +573,16 @@
             )
 
     def check_machine_capacity(self, worker: Worker) -> None:
-        """Check that a machine is not given tasks beyond its CPUs."""
+        """Check that a machine is not given tasks beyond its CPUs, GPUs and memory."""
         assigned = [name for name, task in worker.tasks.items() if task["stage"] != "ended"]
-        used = sum(
-            self.submissions.get(name.partition("/")[0], {}).get("cpus", 0.0) for name in assigned
-        )
-        if used > MACHINE_TYPE["cpus"] + 1e-6:
-            self.violations.append(
-                f"{self.now:.2f} {worker.host} has tasks for {used} CPUs, more than it has"
-            )
+        specs = [self.submissions.get(name.partition("/")[0], {}) for name in assigned]
+        (capacity,) = (t for t in self.machine_types if t["label"] == worker.machine_type)
+        for amount in ("cpus", "cards", "mem_gb"):
+            used = sum(spec.get(amount, 0.0) for spec in specs)
+            if used > capacity[amount] + 1e-6:
+                self.violations.append(
+                    f"{self.now:.2f} {worker.host} has tasks for {used} {amount}, more than it has"
+                )
 
     def is_partitioned(self, one: str, other: str) -> bool:
         return (one, other) in self.partitions or (other, one) in self.partitions
@@ -784,13 +794,13 @@
         if self.cloud_down:
             return 503, {"error": "trouble"}
         if call.path == "/catalog":
-            return 200, {"builds": [MACHINE_TYPE]}
+            return 200, {"builds": list(self.machine_types)}
         if call.path.startswith("/rentals?"):
             hosts = [
                 {
                     "uid": w.host,
                     "addr": w.address,
-                    "build": "box",
+                    "build": w.machine_type,
                     "hall": w.zone,
                     "loaners": w.spot,
                     "stage": "running",
@@ -817,7 +827,9 @@
             count = 0
         if count <= 0:
             return 503, {"error": "no capacity"}
-        hosts = [self.add_machine(body["hall"], body["loaners"]) for _ in range(count)]
+        hosts = [
+            self.add_machine(body["hall"], body["loaners"], body["build"]) for _ in range(count)
+        ]
         self.rentals[body["hire"]] = hosts
         self._record_cloud_action(sender, body["hire"], hosts)
         return 200, {"hosts": hosts}
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,6 +15,7 @@
 from fallpulley.fleet.machine_list import MachineListReader
 from fallpulley.fleet.refusals import RefusedOffers
 from fallpulley.fleet.smoothing import DemandSmoother
+from fallpulley.placement.eligibility import ANY_MACHINE
 from tests.simulated_cluster import controller_settings
 
 OFFER = Offer("box", "a", True)
@@ -33,19 +34,19 @@
 
 def test_ended_demand_is_counted_for_about_a_boot_time() -> None:
     smoother = DemandSmoother()
-    smoother.smooth("s", [DemandGroup(True, None, None, 100.0, 4.0)], 10.0, 40.0)
+    smoother.smooth("s", [DemandGroup(ANY_MACHINE, 100.0, 4.0)], 10.0, 40.0)
     (recent,) = smoother.smooth("s", [], 10.0, 40.0)
-    assert recent.work == pytest.approx(75.0) and recent.allow_spot
+    assert recent.work == pytest.approx(75.0) and recent.eligible.allow_spot
     assert smoother.smooth("other", [], 10.0, 40.0) == []
     assert smoother.smooth("s", [], 40.0, 40.0) == []
 
 
 def test_sudden_demand_counts_in_part_until_it_lasts() -> None:
     smoother = DemandSmoother()
-    smoother.smooth("s", [DemandGroup(True, None, None, 0.0, 4.0)], 10.0, 40.0)
-    (sudden,) = smoother.smooth("s", [DemandGroup(True, None, None, 100.0, 4.0)], 10.0, 40.0)
+    smoother.smooth("s", [DemandGroup(ANY_MACHINE, 0.0, 4.0)], 10.0, 40.0)
+    (sudden,) = smoother.smooth("s", [DemandGroup(ANY_MACHINE, 100.0, 4.0)], 10.0, 40.0)
     assert sudden.work == pytest.approx(60.0)
-    (lasting,) = smoother.smooth("s", [DemandGroup(True, None, None, 100.0, 4.0)], 40.0, 40.0)
+    (lasting,) = smoother.smooth("s", [DemandGroup(ANY_MACHINE, 100.0, 4.0)], 40.0, 40.0)
     assert lasting.work == pytest.approx(100.0)
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from fallpulley.placement.eligibility import ANY_MACHINE
 from fallpulley.placement.estimate import (
     Corrections,
     estimate_remaining_run_time,
@@ -69,6 +70,7 @@
 
 
 def pending(name: str, tasks: int = 1, **overrides: object) -> PendingJob:
+    restrictions = {key: overrides.pop(key) for key in ("allow_spot", "zone") if key in overrides}
     fields = {
         "job_id": name,
         "resources": Resources(4.0, 0.0, 4.0),
@@ -79,7 +81,7 @@
         "remaining_s": 10.0,
         "overdue": False,
         "submitted_at": 0.0,
-        "allow_spot": True,
+        "eligible": ANY_MACHINE._replace(**restrictions),  # type: ignore[arg-type]
     } | overrides
     return PendingJob(**fields)  # type: ignore[arg-type]
 
--- a/tests/test_settings_and_limits.py
+++ b/tests/test_settings_and_limits.py
@@ -17,6 +17,7 @@
 from fallpulley.jobs.completion import chunk_capacity
 from fallpulley.jobs.messages import JobRecord, parse_submission
 from fallpulley.jobs.open_job import OpenJob
+from fallpulley.placement.eligibility import ANY_MACHINE
 from fallpulley.settings import SettingsError, load
 from fallpulley.shard_sizes import (
     change_budget_share,
@@ -236,13 +237,13 @@
 
 
 def test_fleet_grows_with_demand_and_idle_machines_are_released() -> None:
-    work = [DemandGroup(True, None, None, 1600.0, 4.0)]
+    work = [DemandGroup(ANY_MACHINE, 1600.0, 4.0)]
     sizing = size_fleet(work, [], {"box": MACHINE_TYPE}, set(), 0.5, 0.75, 100)
     assert sum(rental.count for rental in sizing.scale_out) == 10
     assert {rental.offer.spot for rental in sizing.scale_out} == {True}
     assert {rental.offer.zone for rental in sizing.scale_out} == {"a", "b"}
     # Work that may not use spot machines gets on-demand ones; refused offers are skipped.
-    on_demand = [DemandGroup(False, None, None, 160.0, 4.0)]
+    on_demand = [DemandGroup(ANY_MACHINE._replace(allow_spot=False), 160.0, 4.0)]
     sizing = size_fleet(
         on_demand, [], {"box": MACHINE_TYPE}, {Offer("box", "a", False)}, 0.5, 0.75, 100
     )
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -4,6 +4,7 @@
 
 import itertools
 import logging
+from typing import NamedTuple
 
 import msgspec
 import pytest
@@ -19,7 +20,9 @@
     SupplyUnit,
     size_fleet,
 )
-from tests.simulated_cluster import SimulatedCluster
+from fallpulley.placement.eligibility import eligible_machines
+from fallpulley.resources import Resources
+from tests.simulated_cluster import MACHINE_TYPE, SimulatedCluster
 from tests.test_jobs_and_takeovers import ready_cluster, submit_job
 from tests.test_leader_rentals import give_shard_to_follower
 
@@ -117,13 +120,51 @@
     cluster.run_until(lambda: cluster.job_state(uid) == "done", 100.0)
 
 
+class ClusterWithLargeMachines(SimulatedCluster):
+    """A cluster whose cloud also offers a type with more memory, GPUs and a higher price."""
+
+    machine_types = (
+        MACHINE_TYPE,
+        MACHINE_TYPE
+        | {"label": "large", "cards": 2.0, "mem_gb": 128.0, "hourly": 3.0, "spot_price": 0.9},
+    )
+
+
+@pytest.mark.parametrize("machines", [0, 2])
+@pytest.mark.parametrize("needs", [{"mem_gb": 100.0}, {"cards": 1.0}, {"cpus": 0.0, "cards": 1.0}])
+def test_job_gets_a_machine_of_the_only_type_that_holds_its_tasks(
+    machines: int, needs: dict[str, float]
+) -> None:
+    # Guards against a job that waits for ever since machines with too little memory, or without
+    # GPUs, count as its supply and are what is rented for it.
+    cluster = ClusterWithLargeMachines(machines)
+    cluster.run_until(lambda: bool(cluster.shards()), 10.0)
+    cluster.run(4.0)
+    uid = submit_job(cluster, 1, pieces=2, **needs)
+    cluster.run_until(lambda: cluster.job_state(uid) == "done", 40.0)
+    assert rented_machines(cluster) <= 2
+
+
 SMALL_TYPE = MachineType("small", 8.0, 0.0, 32.0, 1.0, 0.3, 40.0, ["a"])
 LARGE_TYPE = MachineType("large", 16.0, 0.0, 64.0, 1.0, 0.9, 40.0, ["a"])
+GPU_TYPE = MachineType("gpu", 4.0, 2.0, 128.0, 2.0, 1.8, 40.0, ["a"])
+
+
+def demand_group(
+    resources: Resources, work: float, key: tuple[object, ...] = (True, None, None, False)
+) -> DemandGroup:
+    """Return the group of one task; `key`: spot, types, zone, urgent."""
+    allow_spot, type_names, zone, urgent = key
+    types = TWO_ZONE_TYPES.values()
+    eligible = eligible_machines(resources, allow_spot, type_names, zone, types)  # type: ignore[arg-type]
+    group = DemandGroup.from_key(DemandKey(eligible, bool(urgent)), work)
+    group.task_count, group.largest_task_cpus = 1, resources.cpus
+    return group
 
 
 def size_for_large_task(supply: list[SupplyUnit]) -> SizingPlan:
     """Size the fleet for one task that needs a large machine."""
-    group = DemandGroup(True, None, None, 60.0, 12.0, task_count=1)
+    group = demand_group(Resources(12.0, 0.0, 1.0), 60.0)
     machine_types = {"small": SMALL_TYPE, "large": LARGE_TYPE}
     return size_fleet([group], supply, machine_types, set(), 1.3, 0.5, 100)
 
@@ -145,29 +186,57 @@
 AMOUNTS = [0.0, 0.001, 0.5, 1.0, 3.9, 8.0, 12.0, 16.0]
 
 
-@st.composite
-def demand_groups(draw: st.DrawFn) -> list[DemandGroup]:
-    keys = draw(
-        st.lists(
-            st.builds(
-                DemandKey,
-                st.booleans(),
-                st.sampled_from([None, ("large",), ("large", "small")]),
-                st.sampled_from([None, *ZONES]),
-                st.booleans(),
-            ),
-            max_size=5,
-            unique=True,
+class Work(NamedTuple):
+    """A group's work as it was drawn."""
+
+    resources: Resources  # of each task
+    work: float
+    task_count: int
+    allow_spot: bool
+    type_names: tuple[str, ...] | None
+    zone: str | None
+    urgent: bool
+
+    def group(self) -> DemandGroup:
+        key = (self.allow_spot, self.type_names, self.zone, self.urgent)
+        group = demand_group(self.resources, self.work, key)
+        group.task_count = self.task_count
+        return group
+
+    def can_run_on(self, machine: SupplyUnit) -> bool:
+        """Return whether the machine can take a task, compared amount by amount."""
+        machine_type = TWO_ZONE_TYPES[machine.machine_type]
+        return (
+            (self.allow_spot or not machine.spot)
+            and (self.type_names is None or machine.machine_type in self.type_names)
+            and (self.zone is None or machine.zone == self.zone)
+            and self.resources.cpus <= machine_type.cpus
+            and self.resources.gpus <= machine_type.gpus
+            and self.resources.memory_gb <= machine_type.memory_gb
         )
-    )
-    groups = []
-    for key in keys:
-        group = DemandGroup.from_key(key, draw(st.sampled_from([0.0, 0.01, 30.0, 900.0])))
-        group.task_count = draw(st.integers(0, 3))
-        if group.task_count:
-            group.largest_task_cpus = draw(st.sampled_from(AMOUNTS))
-        groups.append(group)
-    return groups
+
+
+def fits_some_type(work: Work) -> bool:
+    machines = [SupplyUnit("m", name, "", False, 0.0, None) for name in TWO_ZONE_TYPES]
+    return any(work._replace(zone=None).can_run_on(machine) for machine in machines)
+
+
+WORK = st.builds(
+    Work,
+    st.builds(
+        Resources,
+        st.sampled_from(AMOUNTS),
+        st.sampled_from([0.0, 0.0, 0.5, 2.0]),
+        st.sampled_from([0.0, 1.0, 40.0, 64.0, 128.0]),
+    ),
+    st.sampled_from([0.0, 0.01, 30.0, 900.0]),
+    st.integers(0, 3),
+    st.booleans(),
+    st.sampled_from([None, ("large",), ("large", "small"), ("gpu", "large")]),
+    st.sampled_from([None, *ZONES]),
+    st.booleans(),
+).filter(fits_some_type)
+WORK_LISTS = st.lists(WORK, max_size=5, unique_by=lambda work: work.group().key)
 
 
 def planned_supply(plan: SizingPlan, sizing: int = 0) -> list[SupplyUnit]:
@@ -186,19 +255,20 @@
 
 TWO_ZONE_TYPES = {
     machine_type.name: msgspec.structs.replace(machine_type, zones=ZONES)
-    for machine_type in (SMALL_TYPE, LARGE_TYPE)
+    for machine_type in (SMALL_TYPE, LARGE_TYPE, GPU_TYPE)
 }
 SUPPLY_SHAPES = st.tuples(
-    st.sampled_from(["small", "large"]), st.sampled_from(ZONES), st.booleans()
+    st.sampled_from(["small", "large", "gpu"]), st.sampled_from(ZONES), st.booleans()
 )
 
 
 @settings(max_examples=300, derandomize=True, deadline=None)
-@given(demand_groups(), st.lists(SUPPLY_SHAPES, max_size=4), st.booleans())
+@given(WORK_LISTS, st.lists(SUPPLY_SHAPES, max_size=4), st.booleans())
 def test_any_work_has_a_machine_that_can_take_it_after_one_sizing(
-    groups: list[DemandGroup], shapes: list[tuple[str, str, bool]], spot_refused: bool
+    all_work: list[Work], shapes: list[tuple[str, str, bool]], spot_refused: bool
 ) -> None:
     # Guards against work without a machine, whatever else is there, and against endless rentals.
+    groups = [work.group() for work in all_work]
     refused = {Offer(name, zone, True) for name in TWO_ZONE_TYPES for zone in ZONES}
     supply = [
         SupplyUnit(f"m{number}", *shape, TWO_ZONE_TYPES[shape[0]].cpus, 0.0)
@@ -212,14 +282,8 @@
 
     plan = size()
     supply += planned_supply(plan)
-    for group in groups:
-        holds_largest_task = [
-            machine
-            for machine in supply
-            if group.may_use(machine.machine_type, machine.zone, machine.spot)
-            and machine.cpus >= group.largest_task_cpus
-        ]
-        assert holds_largest_task or not group.task_count
+    for work in all_work:
+        assert any(work.can_run_on(machine) for machine in supply) or not work.task_count
     assert plan.unmet == []
     for sizing in range(1, MAX_SIZINGS):
         plan = size()
