--- a/tests/loopback/simulated_services.py
+++ b/tests/loopback/simulated_services.py
@@ -56,8 +56,8 @@
     def now(self, value: float) -> None:
         """Ignore the value: the simulated cluster would set its clock."""
 
-    def add_machine(self, zone: str, spot: bool) -> str:
-        host = super().add_machine(zone, spot)
+    def add_machine(self, zone: str, spot: bool, machine_type: str = "box") -> str:
+        host = super().add_machine(zone, spot, machine_type)
         number = int(host[3:])
         worker = self.workers[host]
         worker.address = f"127.1.{number // 200}.{number % 200 + 1}:{self.port}"
