--- a/fallpulley/shards/direct_commands.py
+++ b/fallpulley/shards/direct_commands.py
@@ -13,7 +13,7 @@
 from fallpulley.shards.shard import Shard
 from fallpulley.timing import LONG_AGO
 from fallpulley.workers.machine import Machine
-from fallpulley.workers.messages import DirectCommand, Heartbeat, TaskCommand
+from fallpulley.workers.messages import DirectCommand, Heartbeat, TaskCommand, TaskOperation
 
 # Minimum time between two prompts for a heartbeat, in leases: a worker reacts to a higher token
 # only once in half a lease.
@@ -63,11 +63,20 @@
         commands: list[TaskCommand],
         on_status: Callable[[int | None], None] | None = None,
     ) -> None:
-        """Send commands to a machine's address.
+        """Send commands to a machine's address, none of which may start a task.
+
+        A late copy of a direct command is carried out if token and epoch still match, also after
+        the machine has forgotten the attempt. Start commands are therefore sent in the responses to
+        heartbeats alone, which a worker drops when they are late.
 
         `on_status` is called with the HTTP status of the response, or with None if there was no
         response, before the state in the response is applied.
+
+        Raises:
+            ValueError: A command starts a task.
         """
+        if any(command.operation is TaskOperation.START for command in commands):
+            raise ValueError("a start command may only be sent in the response to a heartbeat")
 
         def on_outcome(response: Response) -> None:
             if on_status is not None:
--- a/tests/loopback/deployment.py
+++ b/tests/loopback/deployment.py
@@ -76,6 +76,7 @@
         operators: str,
         report_s: float = 1.0,
         sockets: int = 2000,
+        cluster_type: type[LoopbackCluster] = LoopbackCluster,
     ) -> None:
         self.folder = folder
         self.report_s = report_s
@@ -85,7 +86,7 @@
             label: f"127.0.1.{at}:{port}" for at, label in enumerate(CONTROLLER_LABELS, 1)
         }
         self.mesh = {label: f"127.0.2.{at}:{port}" for at, label in enumerate(CONTROLLER_LABELS, 1)}
-        self.cluster = LoopbackCluster(machines, lease_s, self.serve, port, report_s)
+        self.cluster = cluster_type(machines, lease_s, self.serve, port, report_s)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         for label in CONTROLLER_LABELS:
             self._write(label, lease_s, operators)
@@ -170,9 +171,10 @@
     report_s: float = 1.0,
     sockets: int = 2000,
     root: pathlib.Path = ROOT,
+    cluster_type: type[LoopbackCluster] = LoopbackCluster,
 ) -> AsyncIterator[Deployment]:
     """Run a deployment of the sources under `root`; yield it once all machines have a token."""
-    deployment = Deployment(folder, machines, lease_s, operators, report_s, sockets)
+    deployment = Deployment(folder, machines, lease_s, operators, report_s, sockets, cluster_type)
     async with anyio.create_task_group() as tasks:
         await deployment.cluster.serve(tasks)
         try:
--- a/tests/loopback/simulated_services.py
+++ b/tests/loopback/simulated_services.py
@@ -88,10 +88,14 @@
         assert self.client is not None
         self.heartbeat_count += 1
         body = json.dumps(worker.build_heartbeat()).encode()
+        self.record_heartbeat(worker, body)
         self.client.call(
             self.controller_addresses[label], "POST", "/checkin", body, REPORT_TIMEOUT_S, answered
         )
 
+    def record_heartbeat(self, worker: Worker, body: bytes) -> None:
+        """Record a heartbeat that is being sent; subclasses may keep it."""
+
     def _direct_command_handler(self, worker: Worker) -> Callable[[Request], None]:
         def post(request: Request) -> None:
             if worker.host not in self.workers:
