Start nothing on a restarted machine without being its shard's owner for certain

What callers could see: a task on two machines.

Trigger: an owner loses the state service and the other controllers, not its workers, and is replaced; a machine that has had the successor's token is back within a second without tasks and token, and reports to the deposed owner inside that one's response window. A late copy of the deposed owner's direct commands may have brought back its token, so that no report looks odd.

Cause: a machine drops a deposed owner's commands because it remembers a higher token, and one that has restarted does not. The deposed owner looked at tokens only until the first one was confirmed, and took what the machine had lost for room.

Fix: signs of a restart (a lower token, a new epoch, reported tasks that are gone, the first report without our token) are kept with the machine. Tasks are started there only if this controller certainly owned the shard after the sign: its session exists, or it has read the records since. A machine that lost the token gets none until it reports it again, and plans leave out machines that may get none. While the state service answers, nothing waits.

--- a/fallpulley/controller/health.py
+++ b/fallpulley/controller/health.py
@@ -66,6 +66,14 @@
             and self.peers.has_no_live_peer()
         )
 
+    def certainly_owned_at(self) -> float:
+        """Return the latest time at which this controller certainly owned the shards it holds.
+
+        No other controller can acquire them while its session exists. After that, the last read of
+        the records has shown that it still owned them when the read was sent.
+        """
+        return self.context.now if self.session.is_live() else self.watch.fresh_at
+
     def may_respond_to_machines(self) -> bool:
         """Return whether this controller may respond to its machines.
 
--- a/fallpulley/controller/wiring.py
+++ b/fallpulley/controller/wiring.py
@@ -87,7 +87,7 @@
     )
     peers = Peers(context)
     health = Health(context, watch, session, peers)
-    planner = Planner(context, registry, jobs)
+    planner = Planner(context, registry, jobs, health.certainly_owned_at)
     job_sync = JobSync(jobs, owned_shards)
     heartbeats = HeartbeatHandler(
         context,
@@ -98,6 +98,7 @@
         provider,
         owned_shards,
         health.may_respond_to_machines,
+        health.certainly_owned_at,
     )
     lifecycle = ShardLifecycle(context, registry, writer, owned_shards, job_sync, extensions)
     dispatcher = RecordDispatcher(context, registry, job_sync, lifecycle, extensions)
--- a/fallpulley/heartbeats/handler.py
+++ b/fallpulley/heartbeats/handler.py
@@ -52,11 +52,13 @@
         provider: MachineProvider,
         owned_shards: OwnedShards,
         may_respond_to_machines: Callable[[], bool],
+        certainly_owned_at: Callable[[], float],
     ) -> None:
         """Create a handler that holds no heartbeats yet.
 
         `may_respond_to_machines` tells whether this controller is within its response window, so
-        that it may respond to machines.
+        that it may respond to machines; `certainly_owned_at` returns the latest time at which it
+        certainly owned its shards.
         """
         self.context = context
         self.watch = watch
@@ -67,7 +69,13 @@
         self.owned_shards = owned_shards
         self.may_respond_to_machines = may_respond_to_machines
         self.responder = HeartbeatResponder(
-            context, watch, registry, writer, owned_shards, may_respond_to_machines
+            context,
+            watch,
+            registry,
+            writer,
+            owned_shards,
+            may_respond_to_machines,
+            certainly_owned_at,
         )
         self.deferred = DeferredHeartbeats(context, self.responder)
         self._awaiting_grant: list[HeartbeatAwaitingGrant] = []
--- a/fallpulley/heartbeats/responses.py
+++ b/fallpulley/heartbeats/responses.py
@@ -43,11 +43,13 @@
         writer: ShardWriter,
         owned_shards: OwnedShards,
         may_respond_to_machines: Callable[[], bool],
+        certainly_owned_at: Callable[[], float],
     ) -> None:
         """Create a responder.
 
         `may_respond_to_machines` tells whether this controller is within its response window, so
-        that it may respond to machines.
+        that it may respond to machines; `certainly_owned_at` returns the latest time at which it
+        certainly owned its shards.
         """
         self.context = context
         self.watch = watch
@@ -55,6 +57,7 @@
         self.writer = writer
         self.owned_shards = owned_shards
         self.may_respond_to_machines = may_respond_to_machines
+        self.certainly_owned_at = certainly_owned_at
 
     def respond_unavailable(self, pending_response: PendingResponse) -> None:
         """Refuse a heartbeat, which renews no lease; the machine then tries the next controller."""
@@ -107,7 +110,12 @@
         occupied = machine.occupancy_flag and self.writer.is_occupied(
             shard.shard_id, machine.machine_id
         )
-        return machine.usable and occupied and self.watch.ready
+        return (
+            machine.usable
+            and occupied
+            and self.watch.ready
+            and machine.fencing.may_be_commanded(self.certainly_owned_at())
+        )
 
     def _start_commands(self, agent: ShardAgent, machine: Machine) -> list[TaskCommand]:
         """Return the start commands for the tasks that are booked on the machine."""
--- a/fallpulley/scheduling/planner.py
+++ b/fallpulley/scheduling/planner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from fallpulley.controller_context import ControllerContext
 from fallpulley.jobs.service import JobService
 from fallpulley.scheduling.shard_plan import plan_shard
@@ -26,8 +28,20 @@
 class Planner:
     """Plans the shards in which something changed, less often if planning takes long."""
 
-    def __init__(self, context: ControllerContext, registry: Registry, jobs: JobService) -> None:
+    def __init__(
+        self,
+        context: ControllerContext,
+        registry: Registry,
+        jobs: JobService,
+        certainly_owned_at: Callable[[], float],
+    ) -> None:
+        """Create a planner.
+
+        `certainly_owned_at` returns the latest time at which this controller certainly owned its
+        shards.
+        """
         self.context = context
+        self.certainly_owned_at = certainly_owned_at
         self.registry = registry
         self.jobs = jobs
         self.next_plan_at = float("-inf")  # no plan is made earlier
@@ -51,7 +65,9 @@
         """Plan one shard: send stops at once, starts with the responses to heartbeats."""
         shard = agent.shard
         shard.needs_replan = False
-        decision = plan_shard(shard, self.context, self.registry, self.jobs.teams)
+        decision = plan_shard(
+            shard, self.context, self.registry, self.jobs.teams, self.certainly_owned_at()
+        )
         shard.bookings = decision.starts
         for preemption in decision.preemptions:
             agent.commands.preempt(preemption.machine_id, preemption.task_ids)
--- a/fallpulley/scheduling/shard_plan.py
+++ b/fallpulley/scheduling/shard_plan.py
@@ -23,10 +23,17 @@
 
 
 def plan_shard(
-    shard: Shard, context: ControllerContext, registry: Registry, teams: dict[str, Team]
+    shard: Shard,
+    context: ControllerContext,
+    registry: Registry,
+    teams: dict[str, Team],
+    certainly_owned_at: float,
 ) -> PlacementDecision:
-    """Plan the shard's pending jobs on its machines in their present state."""
-    snapshots = machine_snapshots(shard, registry.machine_types, context.now)
+    """Plan the shard's pending jobs on its machines in their present state.
+
+    `certainly_owned_at` is the latest time at which this controller certainly owned the shard.
+    """
+    snapshots = machine_snapshots(shard, registry.machine_types, context.now, certainly_owned_at)
     pending = pending_jobs(shard, context, registry.machine_types, teams, snapshots)
     plan = make_plan(pending, snapshots, context.now)
     return PlacementDecision(
--- a/fallpulley/scheduling/snapshot_builder.py
+++ b/fallpulley/scheduling/snapshot_builder.py
@@ -25,21 +25,25 @@
 
 
 def machine_snapshots(
-    shard: Shard, machine_types: dict[str, MachineType], now: float
+    shard: Shard, machine_types: dict[str, MachineType], now: float, certainly_owned_at: float
 ) -> list[MachineSnapshot]:
     """Return snapshots of the machines that may be given tasks now.
 
+    `certainly_owned_at` is the latest time at which this controller certainly owned the shard.
+
     A snapshot is reused until something changes on the machine or one of its tasks should have
     ended: hundreds of machines stay the same from one plan to the next.
     """
     snapshots = []
     builder = _SnapshotBuilder(shard, now)
+    ownership_uncertain = certainly_owned_at < now
     for machine in shard.machines.values():
         if (
             not machine.usable
             or not machine.occupancy_flag
             or now < machine.reliability.refuses_tasks_until
             or machine.departure.draining
+            or (ownership_uncertain and not machine.fencing.may_be_commanded(certainly_owned_at))
         ):
             continue
         snapshot = machine.placement_snapshot
--- a/fallpulley/shards/heartbeat_intake.py
+++ b/fallpulley/shards/heartbeat_intake.py
@@ -45,6 +45,7 @@
             return False
         if machine.is_unchanged(heartbeat):
             machine.heartbeat.sequence = heartbeat.sequence
+            machine.fencing.reported_token = heartbeat.fencing_token
             self._set_online(machine)
         else:
             machine.placement_snapshot = None
@@ -66,6 +67,7 @@
             return
         if machine.is_unchanged(status):
             machine.heartbeat.sequence = status.sequence
+            machine.fencing.reported_token = status.fencing_token
         else:
             machine.placement_snapshot = None
             was_usable = machine.usable
@@ -92,6 +94,8 @@
 
         `was_usable` tells whether the machine was usable before this state was applied.
         """
+        if changes.tasks_lost:
+            machine.fencing.possibly_restarted_at = self.context.now
         if changes.start_missed and machine.fencing.unacknowledged_since is None:
             self.token_check.require_new_token(machine)
         self.task_changes.apply(machine, changes)
--- a/fallpulley/shards/token_check.py
+++ b/fallpulley/shards/token_check.py
@@ -31,6 +31,7 @@
         lease was renewed nor which tasks the machine holds now.
         """
         self._check_token(machine, heartbeat)
+        machine.fencing.reported_token = heartbeat.fencing_token
         if machine.fencing.token_confirmed:
             return True
         machine.heartbeat.advance(heartbeat)
@@ -58,11 +59,17 @@
         """Set whether the token is confirmed and the machine acknowledged, by the token reported.
 
         The token is the highest that the machine has received. It shows whether anything from this
-        owner has reached the machine since its token was last raised.
+        owner has reached the machine since its token was last raised. A machine that reports a
+        lower token than before has restarted, and gets no tasks until it reports ours again.
         """
+        token_lost = heartbeat.fencing_token < machine.fencing.reported_token
+        if token_lost:
+            machine.fencing.possibly_restarted_at = self.context.now
         if heartbeat.fencing_token >= machine.fencing.token:
             self._set_acknowledged(machine)
-        elif not machine.fencing.token_confirmed and machine.fencing.unacknowledged_since is None:
+        elif machine.fencing.unacknowledged_since is None and (
+            token_lost or not machine.fencing.token_confirmed
+        ):
             self._set_unacknowledged(machine)
 
     def _set_acknowledged(self, machine: Machine) -> None:
--- a/fallpulley/workers/heartbeat_changes.py
+++ b/fallpulley/workers/heartbeat_changes.py
@@ -31,6 +31,7 @@
 
     vanished: list[TaskRun] = []  # runs that the machine no longer has, or never had
     start_missed: bool = False  # a start command of this owner did not take effect
+    tasks_lost: bool = False  # the machine no longer has tasks that it had reported
     exited: list[ExitedTask] = []
     image_fetch_completed: list[TaskRun] = []  # runs whose image is fetched since the last state
     unknown_tasks: list[TaskStatus] = []  # tasks on the machine that match no known run
@@ -50,7 +51,7 @@
 
 def apply_direct_status(machine: Machine, status: Heartbeat, now: float) -> HeartbeatChanges:
     """Update the machine from the response to a direct command and return the changes."""
-    changes = HeartbeatChanges([], False, [], [], [])
+    changes = HeartbeatChanges([], False, False, [], [], [])
     if status.agent_epoch != machine.heartbeat.agent_epoch:
         _begin_epoch(machine, changes)
     machine.heartbeat.advance(status)
@@ -75,6 +76,7 @@
     """
     responses_missed = machine.heartbeat.online or machine.heartbeat.start_unacknowledged
     changes.start_missed = responses_missed and machine.fencing.token_confirmed
+    changes.tasks_lost = True
     changes.vanished.extend(machine.runs.values())
     machine.runs.clear()
     machine.images.fetching.clear()
@@ -108,3 +110,4 @@
             del machine.runs[task_id]
             changes.vanished.append(run)
             changes.start_missed = changes.start_missed or not run.reported
+            changes.tasks_lost = changes.tasks_lost or run.reported
--- a/fallpulley/workers/machine.py
+++ b/fallpulley/workers/machine.py
@@ -107,6 +107,7 @@
         """Whether the heartbeat shows only that the machine is still online."""
         return (
             self.fencing.token_confirmed
+            and heartbeat.fencing_token >= self.fencing.reported_token
             and not self.heartbeat.start_unacknowledged
             and self.fencing.unacknowledged_since is None
             and self.departure.preempted_at is None
--- a/fallpulley/workers/machine_state.py
+++ b/fallpulley/workers/machine_state.py
@@ -70,16 +70,31 @@
     # of them.
     token: int
     token_confirmed: bool = False  # the machine has reported a token of this owner
+    reported_token: int = 0  # the token in the newest known state
     # Since when its heartbeats have arrived without showing that this owner's responses reach it;
     # None if the responses reach it.
     unacknowledged_since: float | None = None
     unconfirmed_heartbeat_at: float = LONG_AGO  # last heartbeat without a token of this owner
+    possibly_restarted_at: float = LONG_AGO  # last sign that it has lost its tasks or its token
     unconfirmed_responses: int = 0  # responses sent before it reported a token of this owner
     prompted_at: float = LONG_AGO  # when a raised token last prompted a heartbeat
     probe_in_flight: bool = False  # a probe (an empty direct command) has no outcome yet
     next_probe_at: float = LONG_AGO  # earliest time of the next probe
     probe_failures: int = 0  # probes that the worker did not respond to
 
+    def may_be_commanded(self, certainly_owned_at: float) -> bool:
+        """Return whether the machine would refuse the commands of this owner if it were replaced.
+
+        A machine that has restarted may have forgotten the token of a later owner, which runs its
+        tasks elsewhere meanwhile. So this controller must have been the owner after the restart,
+        or after the first heartbeat here.
+
+        Args:
+            certainly_owned_at: Latest time at which this controller certainly owned the shard.
+        """
+        uncertain_at = max(self.unconfirmed_heartbeat_at, self.possibly_restarted_at)
+        return certainly_owned_at >= uncertain_at
+
     def advance_token(self, newest: int) -> bool:
         """Raise the token by one; return False if it is already at `newest`.
 
--- a/tests/test_operation_counts.py
+++ b/tests/test_operation_counts.py
@@ -51,7 +51,9 @@
     )
     for machine in shard.machines.values():
         machine.placement_snapshot = None
-    snapshots = machine_snapshots(shard, controller.components.registry.machine_types, cluster.now)
+    snapshots = machine_snapshots(
+        shard, controller.components.registry.machine_types, cluster.now, cluster.now
+    )
     assert sum(len(snapshot.running) for snapshot in snapshots) == 4
     assert estimated == [uid]
 
