--- a/fallpulley/controller/wiring.py
+++ b/fallpulley/controller/wiring.py
@@ -23,6 +23,7 @@
 from fallpulley.fleet.autoscaler import Autoscaler
 from fallpulley.fleet.provider import MachineProvider
 from fallpulley.heartbeats.handler import HeartbeatHandler
+from fallpulley.heartbeats.responses import HeartbeatResponder
 from fallpulley.jobs.service import JobService
 from fallpulley.membership.leadership import Leadership
 from fallpulley.membership.session import SessionLease
@@ -89,17 +90,18 @@
     health = Health(context, watch, session, peers)
     planner = Planner(context, registry, jobs, health.certainly_owned_at)
     job_sync = JobSync(jobs, owned_shards)
-    heartbeats = HeartbeatHandler(
+    responder = HeartbeatResponder(
         context,
         watch,
         registry,
-        leadership,
         writer,
-        provider,
         owned_shards,
         health.may_respond_to_machines,
         health.certainly_owned_at,
     )
+    heartbeats = HeartbeatHandler(
+        context, watch, registry, leadership, writer, provider, owned_shards, responder
+    )
     lifecycle = ShardLifecycle(context, registry, writer, owned_shards, job_sync, extensions)
     dispatcher = RecordDispatcher(context, registry, job_sync, lifecycle, extensions)
     watch.subscribe(dispatcher.on_key_changed)
--- a/fallpulley/heartbeats/handler.py
+++ b/fallpulley/heartbeats/handler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from http import HTTPStatus
 
 import msgspec
@@ -51,15 +50,8 @@
         writer: ShardWriter,
         provider: MachineProvider,
         owned_shards: OwnedShards,
-        may_respond_to_machines: Callable[[], bool],
-        certainly_owned_at: Callable[[], float],
+        responder: HeartbeatResponder,
     ) -> None:
-        """Create a handler that holds no heartbeats yet.
-
-        `may_respond_to_machines` tells whether this controller is within its response window, so
-        that it may respond to machines; `certainly_owned_at` returns the latest time at which it
-        certainly owned its shards.
-        """
         self.context = context
         self.watch = watch
         self.registry = registry
@@ -67,17 +59,8 @@
         self.writer = writer
         self.provider = provider
         self.owned_shards = owned_shards
-        self.may_respond_to_machines = may_respond_to_machines
-        self.responder = HeartbeatResponder(
-            context,
-            watch,
-            registry,
-            writer,
-            owned_shards,
-            may_respond_to_machines,
-            certainly_owned_at,
-        )
-        self.deferred = DeferredHeartbeats(context, self.responder)
+        self.responder = responder
+        self.deferred = DeferredHeartbeats(context, responder)
         self._awaiting_grant: list[HeartbeatAwaitingGrant] = []
 
     def handle(self, pending_response: PendingResponse, body: bytes) -> None:
@@ -110,7 +93,7 @@
         self, pending_response: PendingResponse, heartbeat: Heartbeat, deadline_at: float
     ) -> None:
         """Apply, redirect or refuse a heartbeat, or let it wait until `deadline_at` for a grant."""
-        if not self.watch.loaded or not self.may_respond_to_machines():
+        if not self.watch.loaded or not self.responder.may_respond_to_machines():
             self.responder.respond_unavailable(pending_response)
             return
         shard_id = self.registry.shard_of_machine.get(heartbeat.machine_id)
