Read the records before a submission is refused as too long

Users do not try again after 400.

Cause: a job's record leaves out awaited jobs that are done. Admission measured it by its own copy of the records, in which they were open, and refused at once; every other final refusal reads the records first.

Fix: a record that seems too long is made again after a read that begins then. A failed read gives 503, a known job its state, and 400 is left for a job that is unknown and still too long.

--- a/fallpulley/jobs/admission.py
+++ b/fallpulley/jobs/admission.py
@@ -142,10 +142,34 @@
 
     def _accept(self, pending_response: PendingResponse, spec: Submission) -> None:
         """Choose a shard for the job and write the job's record."""
+        if not self._try_write_record(pending_response, spec):
+            # Either the job is too large, or this controller's copy of the records is old: the job
+            # may be known already, and dependencies that are done since need no space.
+            self.responder.respond_when_current(
+                pending_response,
+                spec.job_id,
+                on_missing=lambda: self._accept_or_reject_as_too_long(pending_response, spec),
+            )
+
+    def _accept_or_reject_as_too_long(
+        self, pending_response: PendingResponse, spec: Submission
+    ) -> None:
+        """Accept a job that no controller has accepted by a read that was just made, or reject it.
+
+        It is rejected if its record is still too long for the state service.
+        """
+        if not self._try_write_record(pending_response, spec):
+            self.responder.send_error(pending_response, HTTPStatus.BAD_REQUEST, "too long")
+
+    def _try_write_record(self, pending_response: PendingResponse, spec: Submission) -> bool:
+        """Write the job's record; return False, without a response, if the record is too long.
+
+        Responds "unavailable" if there is no shard yet.
+        """
         shard_id = self.shard_chooser.choose(spec)
         if shard_id is None:
             self.responder.send_unavailable(pending_response, "no block open yet")
-            return
+            return True
         spec = self._without_done_dependencies(spec)
         value = msgspec.json.encode(
             JobRecord(
@@ -153,9 +177,9 @@
             )
         )
         if len(value) > self.context.record_format.max_value_bytes:
-            self.responder.send_error(pending_response, HTTPStatus.BAD_REQUEST, "too long")
-            return
+            return False
         self._write_acceptance(pending_response, spec, shard_id, value)
+        return True
 
     def _without_done_dependencies(self, spec: Submission) -> Submission:
         """Return the specification without dependencies that are done and without duplicates.
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -307,3 +307,28 @@
         lambda: task_start_count(cluster, first) + task_start_count(cluster, short) >= 4, 60.0
     )
     assert task_start_count(cluster, first if due_s < 100.0 else short) == 4
+
+
+def test_repeated_submission_gets_no_400_from_a_controller_that_takes_awaited_jobs_for_open() -> (
+    None
+):
+    # Guards against a final refusal of an accepted job: the copy of the records is old, and a
+    # record that lists all awaited jobs as open would be too long.
+    state = {"rps": 300.0, "write_rps": 150.0, "value_kb": 2.0, "txn_ops": 16}
+    cluster = pipeline_cluster(state=state)
+    awaited = [f"job-{number:06d}" for number in range(2, 132)]
+    cluster.task_durations_s = dict.fromkeys(awaited, 30.0)
+    for number in range(2, 132):
+        submit_job(cluster, number, pieces=1, cpus=0.05, mem_gb=0.1)
+    last = job_spec(1, awaits=awaited)
+    # None of them is done yet: the record is too long for every controller.
+    assert cluster.request("node-0", "POST", "/work", last)[0] == 400
+    refused = other_controllers(cluster.owner())[0]
+    cluster.refused_controllers.add(refused)
+    cluster.run_until(lambda: all(cluster.job_state(uid) == "done" for uid in awaited), 60.0)
+    assert cluster.request(cluster.owner(), "POST", "/work", last)[0] == 201
+    status, answer, retry_after = cluster.request(refused, "POST", "/work", last)
+    assert status == 503 and retry_after, answer
+    cluster.refused_controllers.clear()
+    cluster.run(1.0)
+    assert cluster.request(refused, "POST", "/work", last)[0] == 200
