Let the back-off grow where a retry starts in the step of the failure

What callers saw: a job whose only machine fails its tasks was tried there at once, again and again. Meant is one retry at once, then a growing pause.

Cause: the back-off grows when an attempt fails that was started after the last failure there. The plan follows the report in the same step, so the next attempt is started at the very time of the failure, and the comparison was `>`. Commands follow reports within a step, so `>=` tells the same and is right.

The test failed before.

--- a/fallpulley/jobs/retry_state.py
+++ b/fallpulley/jobs/retry_state.py
@@ -28,7 +28,7 @@
 
     def record(self, started_at: float, now: float, lease_s: float) -> None:
         """Record a further failure, of an attempt that was started at `started_at`."""
-        if started_at > self.failed_at:
+        if started_at >= self.failed_at:
             first_s = FIRST_RETRY_BACKOFF_LEASES * lease_s
             self.backoff_s = min(MACHINE_AVOIDANCE_SECONDS, max(first_s, 2 * self.backoff_s))
         self.failed_at = now
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import Any
 
 import pytest
 
-from fallpulley.jobs.retry_state import RetryState
+from fallpulley.jobs.retry_state import MACHINE_AVOIDANCE_SECONDS, RetryState
 from tests.simulated_cluster import SimulatedCluster, Worker
 from tests.test_jobs_and_takeovers import ready_cluster, submit_job
 
@@ -54,6 +55,17 @@
     cluster.run_until(lambda: cluster.job_state(uid) == "done", 20.0)
 
 
+def test_back_off_grows_though_the_retry_starts_in_the_step_of_the_failure() -> None:
+    # Guards against a task that is tried again at once, for ever, on the only machine it may use.
+    cluster = ready_cluster(2, operators={"idle_boots": 50.0})
+    cluster.capacity = 2
+    uid = submit_job(cluster, 1, hall="b", pieces=1)
+    failed_at = fail_first_attempts(cluster, uid, 10_000)
+    cluster.run(250.0)
+    pauses = [after - before for before, after in itertools.pairwise(failed_at)]
+    assert pauses == sorted(pauses) and pauses[-1] > MACHINE_AVOIDANCE_SECONDS
+
+
 def test_back_off_of_the_only_machine_grows_up_to_half_of_the_longest_wait() -> None:
     # Guards against a job with a mistake that is tried again and again without a pause.
     retries = RetryState()
