Give a job another machine than those on which it has failed

Cause: sizing counts a machine on which a job fails as that job's supply.

Fix: once a retry has failed, a job needs another machine than those on which it has failed: if the shard has none and none is on its way, one is required. A job that has failed on three machines needs no further one: the mistake is taken for its own, so it gets two at most.

--- a/fallpulley/fleet/demand.py
+++ b/fallpulley/fleet/demand.py
@@ -47,6 +47,10 @@
         group.work += _remaining_work(shard, job, cpus_per_task, now, drain_s)
         group.task_count += job.unfinished_task_count()
         group.largest_task_cpus = max(group.largest_task_cpus, cpus_per_task)
+        if job.retry.machine_failures and job.pending_task_count():
+            failed = job.retry.machines_to_replace()
+            if failed:
+                group.failed_machines.append(failed)
         if spec.kind is GANG:
             group.largest_gang_cpus = max(group.largest_gang_cpus, spec.task_count * cpus_per_task)
     return list(groups.values())
--- a/fallpulley/fleet/demand_group.py
+++ b/fallpulley/fleet/demand_group.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 import msgspec
@@ -28,6 +29,13 @@
     largest_gang_cpus: float = 0.0  # processors of the largest gang, whose tasks start together
     urgent: bool = False  # the work has a high priority
     task_count: int = 0  # unfinished tasks; 0: all work has ended
+    # For each job with waiting tasks that needs another machine than those on which it has failed:
+    # these machines.
+    failed_machines: list[set[str]] = []
+
+    def needs_another_machine_than(self, machine_ids: Collection[str]) -> bool:
+        """Return whether a job of the group needs another machine than these."""
+        return any(failed.issuperset(machine_ids) for failed in self.failed_machines)
 
     @classmethod
     def from_key(cls, key: DemandKey, work: float = 0.0) -> DemandGroup:
--- a/fallpulley/fleet/sizing.py
+++ b/fallpulley/fleet/sizing.py
@@ -144,7 +144,8 @@
         if group.task_count == 0:
             return 0.0
         planned = [rental for rental in self.scale_out if group.eligible.include(*rental.offer)]
-        if not usable and not planned:
+        machine_ids = [machine.machine_id for machine in usable]
+        if not planned and (not usable or group.needs_another_machine_than(machine_ids)):
             # A task without processors needs a machine as well.
             return max(group.largest_task_cpus, group.largest_gang_cpus, TOLERANCE)
         if group.largest_gang_cpus <= 0:
--- a/fallpulley/jobs/retry_state.py
+++ b/fallpulley/jobs/retry_state.py
@@ -13,6 +13,9 @@
 FIRST_RETRY_BACKOFF_LEASES = 0.25
 # No task may wait this long beside a machine that fits and has room, in seconds.
 MAX_WAIT_BESIDE_ROOM_SECONDS = 90.0
+# A job that has failed on this many machines gets no further one rented: the mistake is taken for
+# its own.
+MAX_FAILED_MACHINES = 3
 # How long a job avoids a machine after a failure there, in seconds. The rest of the longest wait is
 # left for the next plan and the machine's next heartbeats.
 MACHINE_AVOIDANCE_SECONDS = 0.5 * MAX_WAIT_BESIDE_ROOM_SECONDS
@@ -67,6 +70,18 @@
                 FIRST_RETRY_BACKOFF_LEASES * lease_s * 2 ** (self.failure_count - 2),
             )
 
+    def machines_to_replace(self) -> set[str]:
+        """Return the machines on which the job has failed, if it needs another one than these.
+
+        It does once an attempt has failed that was started after another one's failure on the same
+        machine. It does not if it has failed on `MAX_FAILED_MACHINES` or more: then the mistake is
+        most likely its own, and it would fail on any further machine too.
+        """
+        if len(self.machine_failures) >= MAX_FAILED_MACHINES:
+            return set()
+        retried = any(failures.backoff_s > 0 for failures in self.machine_failures.values())
+        return set(self.machine_failures) if retried else set()
+
     def avoided_machines(self, now: float) -> set[str]:
         """Return the machines to be avoided while another machine can run the job's tasks."""
         return {
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from fallpulley.jobs.retry_state import MACHINE_AVOIDANCE_SECONDS, RetryState
+from fallpulley.jobs.retry_state import MACHINE_AVOIDANCE_SECONDS, MAX_FAILED_MACHINES, RetryState
 from tests.simulated_cluster import SimulatedCluster, Worker
 from tests.test_jobs_and_takeovers import ready_cluster, submit_job
 
@@ -55,6 +55,33 @@
     cluster.run_until(lambda: cluster.job_state(uid) == "done", 20.0)
 
 
+@pytest.mark.parametrize("capacity", [2, 3])
+def test_job_whose_only_machine_is_faulty_gets_another(capacity: int) -> None:
+    # Guards against a job that fails for ever on the only machine that it may use, since that
+    # machine counts as its supply. While the cloud has no other one, it is tried again there.
+    cluster = ready_cluster(2, operators={"idle_boots": 50.0})
+    cluster.capacity = capacity
+    faulty = next(worker for worker in cluster.workers.values() if worker.zone == "b")
+    cluster.exit_reasons[faulty.host] = "error"
+    uid = submit_job(cluster, 1, hall="b", pieces=2, loaners=False)
+    cluster.run(60.0)
+    assert (cluster.job_state(uid) == "done") == (capacity == 3)
+    cluster.capacity = 3
+    cluster.run_until(lambda: cluster.job_state(uid) == "done", MAX_WAIT_S)
+    assert len(cluster.rentals) == 1
+
+
+def test_job_that_fails_on_every_machine_gets_few_of_them() -> None:
+    # Guards against a fleet that is rented for a job with a mistake.
+    cluster = ready_cluster(2, operators={"idle_boots": 50.0})
+    cluster.capacity = 20
+    uid = submit_job(cluster, 1, hall="b", pieces=2)
+    failed_at = fail_first_attempts(cluster, uid, 10_000)
+    cluster.run(1000.0)
+    assert len(failed_at) > 10
+    assert sum(len(hosts) for hosts in cluster.rentals.values()) == MAX_FAILED_MACHINES - 1
+
+
 def test_back_off_grows_though_the_retry_starts_in_the_step_of_the_failure() -> None:
     # Guards against a task that is tried again at once, for ever, on the only machine it may use.
     cluster = ready_cluster(2, operators={"idle_boots": 50.0})
