Begin the leader's term before a peer's request for machines is served

Cause: a request's name contains the term, which the provider learned in its first tick of the term. A peer's request was served as soon as the records named this process as the leader.

Fix: `MachineProvider.begin_term`, called by the tick and before a peer's request is served. The test failed before (`hire-0` for `hire-14`).

--- a/fallpulley/controller/peer_messages.py
+++ b/fallpulley/controller/peer_messages.py
@@ -58,7 +58,10 @@
                 self.jobs.task_counts[job_id] = (completed, running)
         if self._is_leader(heartbeat.incarnation):
             self.provider.target_sizes = heartbeat.target_sizes
-        if self.leadership.term is not None:
+        term = self.leadership.term
+        if term is not None:
+            # The message may arrive before the first tick of the term.
+            self.provider.begin_term(term)
             self._scale_out(heartbeat)
 
     def _on_rental_refusals(self, message: RentalRefusals) -> None:
--- a/fallpulley/fleet/provider.py
+++ b/fallpulley/fleet/provider.py
@@ -77,17 +77,26 @@
         `term` is the fencing token of this controller's leadership. Only call this while the
         leadership certainly lasts.
         """
-        if term != self._term:
-            self._term = term
-            self.rentals.begin_term(term)
-            self.adoption.begin_term()
-            self.list_reader.abort()
+        self.begin_term(term)
         self.cloud.budget.refill(self.context.now)
         self.catalog.tick()
         self.list_reader.tick()
         self.releases.tick()
         self.rentals.tick()
 
+    def begin_term(self, term: int) -> None:
+        """Begin a term of this controller's leadership, unless it has begun already.
+
+        `term` is the fencing token of the leadership. Call this before anything is done as the
+        leader: the names of rental requests contain the term.
+        """
+        if term == self._term:
+            return
+        self._term = term
+        self.rentals.begin_term(term)
+        self.adoption.begin_term()
+        self.list_reader.abort()
+
     def _on_list_complete(self) -> None:
         machines = self.list_reader.machines
         for machine_id, machine in machines.items():
--- a/tests/test_leader_rentals.py
+++ b/tests/test_leader_rentals.py
@@ -104,3 +104,27 @@
     assert cluster.owner() == former != leader(cluster)
     uid = submit_job(cluster, 2, hall="b", pieces=4)
     cluster.run_until(lambda: cluster.job_state(uid) == "done", 60.0)
+
+
+def test_new_leader_rents_under_names_of_its_own_term_before_its_first_tick() -> None:
+    # Guards against one name for the requests of two leaders: the cloud answers the second with the
+    # machines of the first.
+    cluster = ready_cluster(1)
+    owner = give_shard_to_follower(cluster)
+    first = leader(cluster)
+    (second,) = set(CONTROLLER_LABELS) - {owner, first}
+    cluster.crash(first)
+    cluster.run(1.0)
+    cluster.paused_controllers.add(owner)  # so that the other one is elected
+    cluster.run_until(
+        lambda: cluster.state.entries.get("live/leader", ({},))[0].get("label") == second, 5.0
+    )
+    cluster.paused_controllers.clear()
+    components = cluster.controllers[second].components
+    components.periodic._next_tick_at = cluster.now + 1.5
+    submit_job(cluster, 1, owner, hall="b", pieces=4)
+    cluster.run_until(lambda: bool(cluster.rentals), 1.4)
+    assert components.leadership.term is not None
+    assert {name.rpartition("-")[0] for name in cluster.rentals} == {
+        f"hire-{components.leadership.term}"
+    }
