Add machines to shards on the condition that the leader has not changed

Cause: a leader's addition of a rented machine was conditioned on the record of that shard alone. Held by the network, it was carried out after the next leader had found the machine in the cloud's list and given it to another shard.

Fix: only the leader adds machines, so a write with additions is conditioned on the leader's record too, as duties' records are: it fails once another term has begun. A controller that does not lead any more discards the additions that it still has.

The test failed before (a machine in two shards).

--- a/fallpulley/shared_records/writer.py
+++ b/fallpulley/shared_records/writer.py
@@ -13,6 +13,7 @@
     FIRST_FORMAT_ENTRY_BYTES,
     FULL_HEADER_SHARE,
 )
+from fallpulley.shared_records.keys import LEADER_KEY
 from fallpulley.shared_records.page_check import PageCheck
 from fallpulley.shared_records.pending_changes import PendingChanges
 from fallpulley.shared_records.registry import Registry
@@ -66,7 +67,11 @@
     # -- requests --------------------------------------------------------------------------------
 
     def add(self, shard_id: str, machine_id: str, entry: MachineEntry) -> None:
-        """Request to add a machine to a shard; any controller may request it."""
+        """Request to add a machine to a shard; only the leader may request it.
+
+        The request is discarded when this controller no longer leads, and a write of it that is
+        carried out later fails: the next leader may have given the machine to another shard.
+        """
         self._pending[shard_id].adding[machine_id] = entry
 
     def remove(self, shard_id: str, machine_id: str) -> None:
@@ -101,7 +106,7 @@
     def discard_owner_requests(self, shard_id: str) -> None:
         """Discard this controller's requests for a shard that another controller now owns.
 
-        Only requests to add machines stay: any controller may make these.
+        Only requests to add machines stay: the leader makes them for all shards.
         """
         self._pending[shard_id].discard_owner_requests()
         self._shards_without_previous_owners.discard(shard_id)
@@ -182,6 +187,9 @@
 
     def _write(self, shard_id: str, shard: Versioned[ShardRecord], state: _WriteState) -> None:
         pending = self._pending[shard_id]
+        term = self._leader_term()
+        if term is None:
+            pending.adding.clear()
         for machine_id in pending.adding.keys() & self.registry.shard_of_machine.keys():
             del pending.adding[machine_id]
         pending.discard_absent(shard.value)
@@ -194,8 +202,18 @@
         if shard_id in self._shards_without_previous_owners:
             shard = without_previous_owners(shard)
         transaction = self._next_transaction(shard_id, shard, pending, state)
-        if transaction is not None:
-            self._send(shard_id, transaction, state)
+        if transaction is None:
+            return
+        if pending.adding and term is not None:
+            transaction.conditions[LEADER_KEY] = term
+        self._send(shard_id, transaction, state)
+
+    def _leader_term(self) -> int | None:
+        """Return the revision at which this process became leader, None if another one leads."""
+        leader = self.registry.leader
+        if leader is None or leader.value.incarnation != self.context.incarnation:
+            return None
+        return leader.mod_revision
 
     def _next_transaction(
         self,
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -16,7 +16,7 @@
 from fallpulley.cli import main
 from fallpulley.effects import OperatorRequest
 from fallpulley.settings import SharesSettings, Team
-from fallpulley.shared_records.shard_record import decode_shard
+from fallpulley.shared_records.shard_record import MachineEntry, decode_shard
 from fallpulley.shares.command import UsageError, parse_table, print_shares
 from fallpulley.shares.messages import SetShares, Share, SharesResponse, ShareTable
 from fallpulley.shares.policy import (
@@ -380,6 +380,38 @@
     check_history(cluster)
 
 
+def test_machine_of_a_late_write_of_a_former_leader_does_not_come_to_a_second_shard() -> None:
+    # Guards against a machine with two owners: the leader's addition to a shard is carried out
+    # after its successor has found the machine in the cloud's list and given it to another shard.
+    cluster = cluster_with_shares(EVEN, machines=6)
+    cluster.run_until(lambda: machines_are_placed(cluster, dict.fromkeys(EVEN, 2)), 20.0)
+    cluster.run(3.0)
+    former = cluster.state.entries["live/leader"][0]["label"]
+    first, second = (
+        key.removeprefix("live/block/")
+        for key, record in cluster.shards().items()
+        if record["holder"] != former
+    )
+    host = cluster.add_machine("a", spot=False)
+    entry = MachineEntry(cluster.workers[host].address, "box", "a", False)
+    cluster.unanswered_transactions[former] = 12.0
+    cluster.controllers[former].components.writer.add(first, host, entry)
+    cluster.run(0.5)
+    cluster.crash(former)
+    cluster.run_until(
+        lambda: (
+            cluster.state.entries.get("live/leader", ({"label": former},))[0]["label"] != former
+        ),
+        10.0,
+    )
+    leader = cluster.state.entries["live/leader"][0]["label"]
+    cluster.run(0.5)
+    cluster.controllers[leader].components.writer.add(second, host, entry)
+    cluster.run_until(lambda: host in cluster.recorded_machines(), 8.0)
+    cluster.run(20.0)
+    check_history(cluster)
+
+
 @pytest.mark.parametrize("slow_s", [0.0, 0.3, 0.8])
 def test_concurrent_writes_of_sources_and_destination_to_one_record_lose_nothing(
     slow_s: float,
