Bound the power in a job's back-off

What callers saw: from the 1,026th failure of one job on, a heartbeat with another failure of it got 503, and tasks that had ended in the same heartbeat stayed running.

Cause: the back-off was a power of two with the number of failures in it, bounded only afterwards. The power is bounded now; up to the longest back-off the values are as before. The test raised OverflowError before.

--- a/fallpulley/jobs/retry_state.py
+++ b/fallpulley/jobs/retry_state.py
@@ -11,6 +11,9 @@
 # The first back-off of a job or of a machine, in lease durations; it doubles with each further
 # failure.
 FIRST_RETRY_BACKOFF_LEASES = 0.25
+# How often the back-off of a job is doubled at most: more than it takes to the longest one. A power
+# with the number of failures in it would be too large for a float after a thousand of them.
+MAX_RETRY_BACKOFF_DOUBLINGS = 5
 # No task may wait this long beside a machine that fits and has room, in seconds.
 MAX_WAIT_BESIDE_ROOM_SECONDS = 90.0
 # A job that has failed on this many machines gets no further one rented: the mistake is taken for
@@ -65,10 +68,11 @@
         else:
             failures.record(started_at, now, lease_s)
         if len(self.machine_failures) > 1:
-            self.not_before = now + min(
-                MAX_RETRY_BACKOFF_LEASES * lease_s,
-                FIRST_RETRY_BACKOFF_LEASES * lease_s * 2 ** (self.failure_count - 2),
+            doublings = min(self.failure_count - 2, MAX_RETRY_BACKOFF_DOUBLINGS)
+            backoff_leases = min(
+                MAX_RETRY_BACKOFF_LEASES, FIRST_RETRY_BACKOFF_LEASES * 2.0**doublings
             )
+            self.not_before = now + backoff_leases * lease_s
 
     def machines_to_replace(self) -> set[str]:
         """Return the machines on which the job has failed, if it needs another one than these.
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -93,6 +93,14 @@
     assert pauses == sorted(pauses) and pauses[-1] > MACHINE_AVOIDANCE_SECONDS
 
 
+def test_thousands_of_failures_of_one_job_are_recorded() -> None:
+    # Guards against a heartbeat that is refused, with all tasks in it, for the failure of one task.
+    retries = RetryState()
+    for number in range(5000):
+        retries.record_failure(f"vm-{number % 2}", 0.0, 10.0, 20.0)
+    assert retries.failure_count == 5000 and retries.not_before == 10.0 + 6 * 20.0
+
+
 def test_back_off_of_the_only_machine_grows_up_to_half_of_the_longest_wait() -> None:
     # Guards against a job with a mistake that is tried again and again without a pause.
     retries = RetryState()
