Let a job prefer untried machines for a short time after its back-off only

The job now avoids the machines on which it has failed for a quarter of a lease after its back-off, where another one may run its tasks, as it does for 45 s after a failure.

--- a/fallpulley/controller/health.py
+++ b/fallpulley/controller/health.py
@@ -69,8 +69,9 @@
     def certainly_owned_at(self) -> float:
         """Return the latest time at which this controller certainly owned the shards it holds.
 
-        No other controller can acquire them while its session exists. After that, the last read of
-        the records has shown that it still owned them when the read was sent.
+        No other controller can acquire them while its session exists, unless it hands them over
+        itself. After that, the last read of the records has shown that it still owned them when the
+        read was sent.
         """
         return self.context.now if self.session.is_live() else self.watch.fresh_at
 
--- a/fallpulley/jobs/retry_state.py
+++ b/fallpulley/jobs/retry_state.py
@@ -46,6 +46,9 @@
     machine_failures: dict[str, MachineFailures] = msgspec.field(default_factory=dict)  # by id
     failure_count: int = 0  # on all machines together
     not_before: float = LONG_AGO  # seconds of the monotonic clock
+    # Until then, in seconds of the monotonic clock, the job avoids all machines on which it has
+    # failed: it may come back from its back-off later than `MACHINE_AVOIDANCE_SECONDS` after them.
+    untried_only_before: float = LONG_AGO
 
     def record_failure(
         self, machine_id: str, started_at: float, now: float, lease_s: float
@@ -73,6 +76,7 @@
                 MAX_RETRY_BACKOFF_LEASES, FIRST_RETRY_BACKOFF_LEASES * 2.0**doublings
             )
             self.not_before = now + backoff_leases * lease_s
+            self.untried_only_before = self.not_before + FIRST_RETRY_BACKOFF_LEASES * lease_s
 
     def machines_to_replace(self) -> set[str]:
         """Return the machines on which the job has failed, if it needs another one than these.
@@ -91,7 +95,7 @@
         return {
             machine_id
             for machine_id, failures in self.machine_failures.items()
-            if now < failures.failed_at + MACHINE_AVOIDANCE_SECONDS
+            if now < max(failures.failed_at + MACHINE_AVOIDANCE_SECONDS, self.untried_only_before)
         }
 
     def machines_in_backoff(self, now: float) -> set[str]:
--- a/fallpulley/placement/snapshot.py
+++ b/fallpulley/placement/snapshot.py
@@ -25,12 +25,3 @@
     fetch_free_at: float  # when all fetches in progress will have ended
     profile: Profile | None = None  # made from `running` by the first plan; plans book in copies
     valid_until: float = math.inf  # the snapshot is rebuilt then, or earlier on a change
-
-    def has_room_for(self, resources: Resources) -> bool:
-        """Return whether the resources are free now, by what the running tasks hold."""
-        if self.profile is not None:
-            return self.profile.fits_now(resources)
-        free = self.capacity
-        for _, *held in self.running:
-            free = free.minus(Resources(*held))
-        return resources.fits_in(free)
--- a/fallpulley/scheduling/pending_jobs.py
+++ b/fallpulley/scheduling/pending_jobs.py
@@ -158,24 +158,13 @@
 ) -> set[str] | None:
     """Return the machines that get none of the job's tasks because one failed there, or None.
 
-    While a machine on which none has failed has room, these are all machines on which one has. If
-    the job's tasks may run on no other machine, these are only the machines in back-off: otherwise
-    the job would wait beside an idle machine that fits.
+    If the job's tasks may run on no other machine, these are only the machines in back-off:
+    otherwise the job would wait beside an idle machine that fits.
     """
-    failed = job.retry.machine_failures.keys()
-    if not failed:
-        return None
-    others = [
-        snapshot
-        for snapshot in snapshots
-        if snapshot.machine_id not in failed and is_eligible(entry, snapshot)
-    ]
-    if any(snapshot.has_room_for(entry.resources) for snapshot in others):
-        return set(failed)
     avoided = job.retry.avoided_machines(now)
-    if others or any(
-        snapshot.machine_id not in avoided and is_eligible(entry, snapshot)
-        for snapshot in snapshots
-    ):
-        return avoided or None
+    if not avoided:
+        return None
+    for snapshot in snapshots:
+        if snapshot.machine_id not in avoided and is_eligible(entry, snapshot):
+            return avoided
     return job.retry.machines_in_backoff(now) or None
