Ask one place who leads, and find a job's machines once for all shards

The election, the messages of peers and, since additions depend on the leader, the writer of shards each compared the leader's record with a process. `leader_term` of the registry answers all three. The choice of a shard found the machines that can take a job anew for each shard; it does once.

--- a/fallpulley/controller/peer_messages.py
+++ b/fallpulley/controller/peer_messages.py
@@ -70,8 +70,7 @@
 
     def _is_leader(self, incarnation: str) -> bool:
         """Return whether the records name this process as the leader."""
-        leader = self.registry.leader
-        return leader is not None and incarnation == leader.value.incarnation
+        return self.registry.leader_term(incarnation) is not None
 
     def _scale_out(self, heartbeat: PeerHeartbeat) -> None:
         """Rent the machines that a peer requests from this controller as the leader."""
--- a/fallpulley/jobs/shard_chooser.py
+++ b/fallpulley/jobs/shard_chooser.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 
 from fallpulley.jobs.messages import Submission
+from fallpulley.placement.eligibility import EligibleMachines
 from fallpulley.settings import Team
 from fallpulley.shared_records.registry import Registry
 
@@ -47,15 +48,15 @@
         shards = self.registry.shards
         if len(shards) < 2:
             return next(iter(shards), None)
-        return min(shards, key=lambda shard_id: self._relative_load(spec, shard_id))
+        eligible = spec.eligible_machines(self.registry.machine_types.values())
+        return min(shards, key=lambda shard_id: self._relative_load(eligible, shard_id))
 
-    def _relative_load(self, spec: Submission, shard_id: str) -> tuple[bool, float, str]:
+    def _relative_load(self, eligible: EligibleMachines, shard_id: str) -> tuple[bool, float, str]:
         """Return the sort key of a shard: its work per processor that the job may use, in seconds.
 
         A shard without such processors sorts last: otherwise a shard that has only spot machines
         is given urgent jobs that may not run on spot machines.
         """
-        eligible = spec.eligible_machines(self.registry.machine_types.values())
         usable_processors = sum(
             cpus
             for shape, cpus in self.registry.processors_by_shape(shard_id).items()
--- a/fallpulley/membership/leader_election.py
+++ b/fallpulley/membership/leader_election.py
@@ -46,14 +46,9 @@
     @property
     def term(self) -> int | None:
         """The revision at which this process became leader, or None if it does not lead."""
-        leader = self._registry.leader
-        if (
-            leader is None
-            or leader.value.incarnation != self._context.incarnation
-            or not self._session.is_live()
-        ):
+        if not self._session.is_live():
             return None
-        return leader.mod_revision
+        return self._registry.leader_term(self._context.incarnation)
 
     def tick(self) -> None:
         """Claim the leadership if it is vacant or held by an older process of this controller."""
--- a/fallpulley/shared_records/registry.py
+++ b/fallpulley/shared_records/registry.py
@@ -92,6 +92,12 @@
         elif key == CATALOG_KEY:
             self._on_catalog(value)
 
+    def leader_term(self, incarnation: str) -> int | None:
+        """Return the revision at which the process became leader, None if it does not lead."""
+        if self.leader is None or self.leader.value.incarnation != incarnation:
+            return None
+        return self.leader.mod_revision
+
     def _on_session(self, key: str, value: bytes | None, mod_revision: int) -> None:
         controller_id = key[len(SESSION_PREFIX) :]
         session = decode_or_none(key, value, _decode_session)
--- a/fallpulley/shared_records/writer.py
+++ b/fallpulley/shared_records/writer.py
@@ -187,7 +187,7 @@
 
     def _write(self, shard_id: str, shard: Versioned[ShardRecord], state: _WriteState) -> None:
         pending = self._pending[shard_id]
-        term = self._leader_term()
+        term = self.registry.leader_term(self.context.incarnation)
         if term is None:
             pending.adding.clear()
         for machine_id in pending.adding.keys() & self.registry.shard_of_machine.keys():
@@ -208,13 +208,6 @@
             transaction.conditions[LEADER_KEY] = term
         self._send(shard_id, transaction, state)
 
-    def _leader_term(self) -> int | None:
-        """Return the revision at which this process became leader, None if another one leads."""
-        leader = self.registry.leader
-        if leader is None or leader.value.incarnation != self.context.incarnation:
-            return None
-        return leader.mod_revision
-
     def _next_transaction(
         self,
         shard_id: str,
--- a/tests/loopback/check_late_copies.py
+++ b/tests/loopback/check_late_copies.py
@@ -25,15 +25,13 @@
 from tests.loopback.deployment import Deployment, running_deployment
 from tests.loopback.simulated_services import LoopbackCluster
 from tests.simulated_cluster import CONTROLLER_LABELS, Worker, job_spec
-from tests.test_late_copies import restart_machine
+from tests.test_late_copies import COPY_INTERVAL_S, RESTART_S, restart_machine
 
 MACHINES = 3
 LEASE_S = 8.0
 HAND_OVERS = ("ended", "moved", "cancelled")
 RESTARTS = ("owner", "new owner", "machine", "machine in a new epoch")
 SHORT_TASK_S, LONG_TASK_S = 3.0, 12.0
-RESTART_S = 0.3  # time in which a controller comes back
-COPY_INTERVAL_S = 0.4
 COPIES_S = 12.0  # how long copies arrive after the restart
 MAX_COPIED_HEARTBEATS = 20  # of each machine, the newest
 TASKS = 2  # of each job
